--- /dev/null
+++ b/Source/Connection/Connection.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/** @file Public header of the decisions that live for one connection. */
+
+#include "Connection/ReuseRule.h"
+#include "Core/Core.h"
--- /dev/null
+++ b/Source/Connection/Http/ConnectionHttp.h
@@ -0,0 +1,15 @@
+#pragma once
+
+/** @file Public header of HTTP connections to callers and to targets. */
+
+#include "Connection/Connection.h"
+#include "Connection/Http/CallerConnection.h"
+#include "Connection/Http/CallerListener.h"
+#include "Connection/Http/ConnectionError.h"
+#include "Connection/Http/ConnectionPool.h"
+#include "Connection/Http/CountingSocketImpl.h"
+#include "Connection/Http/HttpExchange.h"
+#include "Connection/Http/HttpTransport.h"
+#include "Connection/Http/TrafficService.h"
+#include "Connection/Http/UpstreamSession.h"
+#include "Request/Http/RequestHttp.h"
--- /dev/null
+++ b/Source/Connection/Http/HttpTransport.cpp
@@ -0,0 +1,108 @@
+#include "Connection/Http/ConnectionHttp.h"
+
+namespace Sapphireladder {
+
+namespace {
+
+using Poco::Net::HTTPMessage;
+using Poco::Net::HTTPRequest;
+using Poco::Net::HTTPResponse;
+
+HTTPRequest encodeRequest(const AttemptRequest &request, TimePoint now)
+{
+    const auto &info = request.info;
+    HTTPRequest message(std::string(info.method), std::string(info.path), HTTPMessage::HTTP_1_1);
+    for (const auto &it : request.headers)
+        message.add(it.name, it.value);
+    message.setHost(info.service.string());
+    message.set(requestIdHeader, info.id.string());
+    message.set(timeoutHeader, std::to_string(toMilliseconds(info.deadline - now)));
+    message.set(attemptHeader, std::to_string(info.attemptMark + request.attempt));
+    message.set(depthHeader, std::to_string(info.depth + 1));
+    if (info.key)
+        message.set(idempotencyKeyHeader, info.key->string());
+    return message;
+}
+
+std::optional<LoadReport> parseLoad(std::string_view text)
+{
+    const auto slash = text.find('/');
+    if (slash == std::string_view::npos)
+        return std::nullopt;
+    const auto inFlight = parseUnsigned(text.substr(0, slash));
+    const auto slots = parseUnsigned(text.substr(slash + 1));
+    if (!inFlight || !slots)
+        return std::nullopt;
+    return LoadReport{static_cast<unsigned>(inFlight.value()),
+                      static_cast<unsigned>(slots.value())};
+}
+
+bool isShed(const HTTPResponse &head, const ShedMark &mark)
+{
+    return static_cast<unsigned>(head.getStatus()) == mark.status
+           && head.get(mark.header, "") == mark.value;
+}
+
+Answer decodeAnswer(WholeAnswer whole)
+{
+    Answer answer{static_cast<unsigned>(whole.head.getStatus()), {}, std::move(whole.body)};
+    for (const auto &[name, value] : whole.head) {
+        if (!isHopByHopHeader(name))
+            answer.headers.push_back({name, value});
+    }
+    return answer;
+}
+
+AttemptResult judgeAnswer(const AttemptRequest &request, WholeAnswer whole)
+{
+    AttemptResult result;
+    result.load = parseLoad(whole.head.get(loadHeader, ""));
+    result.draining = whole.head.get(drainingHeader, "") == "true";
+    const auto &id = request.info.id.string();
+    if (whole.head.get(requestIdHeader, id) != id)
+        result.end = Unknown{UnknownReason::AnswerMismatch};
+    else if (isShed(whole.head, request.policy.shedMark))
+        result.end = NotRun{RetryReason::Shed};
+    else
+        result.end = Answered{decodeAnswer(std::move(whole))};
+    return result;
+}
+
+} // namespace
+
+HttpTransport::HttpTransport(const Clock &clock, std::size_t bufferLimit)
+    : m_clock(clock)
+    , m_bufferLimit(bufferLimit)
+    , m_pool(clock)
+{}
+
+AttemptResult HttpTransport::attempt(const AttemptRequest &request)
+{
+    const auto &endpoint = request.target.endpoint;
+    const auto start = m_clock.now();
+    auto session = m_pool.take(endpoint, request.info.idempotent);
+    const bool reused = session != nullptr;
+    if (!reused) {
+        auto opened = UpstreamSession::create(endpoint, request.info.deadline);
+        if (!opened)
+            return {NotRun{RetryReason::ConnectFailed}, std::nullopt, false, {}};
+        session = std::move(opened.value());
+    }
+    auto message = encodeRequest(request, m_clock.now());
+    auto end = exchange(*session, message, request.body, m_bufferLimit, request.info.deadline);
+    if (auto *whole = std::get_if<WholeAnswer>(&end)) {
+        const bool reusable = whole->reusable;
+        auto result = judgeAnswer(request, std::move(*whole));
+        if (reusable && !std::holds_alternative<Unknown>(result.end))
+            m_pool.give(endpoint, std::move(session));
+        return result;
+    }
+    if (const auto *notRun = std::get_if<NotRun>(&end))
+        return {*notRun, std::nullopt, false, {}};
+    const auto unknown = std::get<Unknown>(end);
+    if (reused && unknown.reason == UnknownReason::AnswerTimeout)
+        m_pool.dropSilentSince(endpoint, start);
+    return {unknown, std::nullopt, false, {}};
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Connection/Http/HttpTransport.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "Connection/Http/ConnectionPool.h"
+#include "Request/Request.h"
+
+namespace Sapphireladder {
+
+/** Sends attempts to targets over HTTP/1.1. Shared by the traffic threads. */
+class HttpTransport final : public AttemptTransport
+{
+public:
+    /**
+     * @param clock outlives the transport
+     * @param bufferLimit largest answer body in bytes
+     */
+    HttpTransport(const Clock &clock, std::size_t bufferLimit);
+
+    AttemptResult attempt(const AttemptRequest &request) override;
+
+private:
+    const Clock &m_clock;
+    std::size_t m_bufferLimit;
+    ConnectionPool m_pool;
+};
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Core/CoreError.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <system_error>
+
+namespace Sapphireladder {
+
+/** Failures of the core types. */
+enum class CoreError {
+    InvalidEndpoint = 1,
+    InvalidNumber,
+    InvalidDuration,
+};
+
+std::error_code make_error_code(CoreError error);
+
+} // namespace Sapphireladder
+
+template<>
+struct std::is_error_code_enum<Sapphireladder::CoreError> : std::true_type
+{};
--- /dev/null
+++ b/Source/Core/Event.cpp
@@ -0,0 +1,57 @@
+#include "Core/Core.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace Sapphireladder {
+
+namespace {
+
+constexpr EventDescription catalogue[] = {
+        {EventId::ProcessStarted, Severity::Info, "process-started"},
+        {EventId::ProcessReady, Severity::Info, "process-ready"},
+        {EventId::ProcessNotReady, Severity::Warning, "process-not-ready"},
+        {EventId::ProcessStopped, Severity::Info, "process-stopped"},
+        {EventId::SettingsInvalid, Severity::Error, "settings-invalid"},
+        {EventId::PresetApplied, Severity::Info, "preset-applied"},
+        {EventId::PresetOlderIgnored, Severity::Warning, "preset-older-ignored"},
+        {EventId::PresetDigestMismatch, Severity::Error, "preset-digest-mismatch"},
+        {EventId::PresetBodyUnavailable, Severity::Warning, "preset-body-unavailable"},
+        {EventId::PresetBodyInvalid, Severity::Error, "preset-body-invalid"},
+        {EventId::PresetSwitchAccepted, Severity::Info, "preset-switch-accepted"},
+        {EventId::PresetSwitchConflict, Severity::Warning, "preset-switch-conflict"},
+        {EventId::PresetSwitchRefused, Severity::Warning, "preset-switch-refused"},
+        {EventId::PresetSwitchUnknown, Severity::Error, "preset-switch-unknown"},
+        {EventId::CallerInputRefused, Severity::Info, "caller-input-refused"},
+        {EventId::CallerConnectionRefused, Severity::Warning, "caller-connection-refused"},
+        {EventId::TargetEjected, Severity::Warning, "target-ejected"},
+        {EventId::TargetReinstated, Severity::Info, "target-reinstated"},
+        {EventId::TargetLeaving, Severity::Info, "target-leaving"},
+        {EventId::TargetReturned, Severity::Info, "target-returned"},
+        {EventId::EjectionSuspended, Severity::Warning, "ejection-suspended"},
+        {EventId::PeerLost, Severity::Warning, "peer-lost"},
+        {EventId::PeerJoined, Severity::Info, "peer-joined"},
+        {EventId::PeerChannelReplaced, Severity::Warning, "peer-channel-replaced"},
+        {EventId::StoreUnavailable, Severity::Warning, "store-unavailable"},
+        {EventId::StoreRecovered, Severity::Info, "store-recovered"},
+        {EventId::VmListUnavailable, Severity::Warning, "vm-list-unavailable"},
+        {EventId::ShutdownStep, Severity::Info, "shutdown-step"},
+        {EventId::ShutdownForced, Severity::Error, "shutdown-forced"},
+};
+
+} // namespace
+
+std::span<const EventDescription> eventCatalogue()
+{
+    return catalogue;
+}
+
+const EventDescription &describeEvent(EventId id)
+{
+    const auto *it = std::find_if(std::begin(catalogue), std::end(catalogue),
+                                  [id](const auto &row) { return row.id == id; });
+    assert(it != std::end(catalogue));
+    return *it;
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Core/Event.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace Sapphireladder {
+
+/** How urgent an event is for an operator. */
+enum class Severity : std::uint8_t {
+    Info,
+    Warning,
+    Error,
+};
+
+/** Numbers of the log events. A number is never used for another event. docs/events.md lists them.
+ */
+enum class EventId : std::uint16_t {
+    ProcessStarted = 100,
+    ProcessReady = 101,
+    ProcessNotReady = 102,
+    ProcessStopped = 103,
+    SettingsInvalid = 110,
+    PresetApplied = 200,
+    PresetOlderIgnored = 201,
+    PresetDigestMismatch = 202,
+    PresetBodyUnavailable = 203,
+    PresetBodyInvalid = 204,
+    PresetSwitchAccepted = 210,
+    PresetSwitchConflict = 211,
+    PresetSwitchRefused = 212,
+    PresetSwitchUnknown = 213,
+    CallerInputRefused = 300,
+    CallerConnectionRefused = 301,
+    TargetEjected = 400,
+    TargetReinstated = 401,
+    TargetLeaving = 402,
+    TargetReturned = 403,
+    EjectionSuspended = 404,
+    PeerLost = 500,
+    PeerJoined = 501,
+    PeerChannelReplaced = 502,
+    StoreUnavailable = 600,
+    StoreRecovered = 601,
+    VmListUnavailable = 602,
+    ShutdownStep = 700,
+    ShutdownForced = 701,
+};
+
+/** What the catalogue says of one event. */
+struct EventDescription
+{
+    EventId id;
+    Severity severity;
+    std::string_view name;
+};
+
+/** @return every event, ordered by number. */
+std::span<const EventDescription> eventCatalogue();
+
+/** @param id a catalogued event @return its row in the catalogue. */
+const EventDescription &describeEvent(EventId id);
+
+/** One named value of an event. */
+struct EventField
+{
+    std::string_view name;
+    std::string value;
+};
+
+/** Receives events. The process writes them to its log; tests collect them. */
+class EventSink
+{
+public:
+    virtual ~EventSink() = default;
+    /**
+     * Records an event. May be called from any thread.
+     * @param id number of the event
+     * @param fields its values, valid during the call only
+     */
+    virtual void record(EventId id, std::span<const EventField> fields) = 0;
+
+    void record(EventId id, std::initializer_list<EventField> fields)
+    {
+        record(id, std::span<const EventField>(fields.begin(), fields.size()));
+    }
+};
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Main/AdminClient.cpp
@@ -0,0 +1,30 @@
+#include "Main/AdminClient.h"
+
+#include "Process/Process.h"
+
+#include <Poco/Net/HTTPRequest.h>
+
+namespace Sapphireladder {
+
+namespace {
+
+/** Longer than a switch with all its store calls takes. */
+constexpr Duration adminTimeout = std::chrono::seconds(20);
+constexpr std::size_t maxAdminAnswer = 16 * mebibyte;
+
+} // namespace
+
+Result<Answer> callAdmin(const Endpoint &endpoint, const AdminRequest &request)
+{
+    const auto deadline = SteadyClock().now() + adminTimeout;
+    TRY_ASSIGN(session, UpstreamSession::create(endpoint, deadline));
+    Poco::Net::HTTPRequest message(std::string(request.method), request.path,
+                                   Poco::Net::HTTPMessage::HTTP_1_1);
+    auto end = exchange(*session, message, request.body, maxAdminAnswer, deadline);
+    auto *whole = std::get_if<WholeAnswer>(&end);
+    if (!whole)
+        return makeError(ProcessError::AdminUnavailable, endpoint.toString());
+    return Answer{static_cast<unsigned>(whole->head.getStatus()), {}, std::move(whole->body)};
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Main/CommandLine.cpp
@@ -0,0 +1,329 @@
+#include "Main/CommandLine.h"
+
+#include "Main/AdminClient.h"
+#include "Main/VmProcess.h"
+#include "Process/Yaml/ProcessYaml.h"
+
+#include <cxxopts.hpp>
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <iostream>
+#include <optional>
+
+namespace Sapphireladder {
+
+namespace {
+
+/** Words of a subcommand, parsed. */
+class Arguments
+{
+public:
+    /** @return the parsed words, or nothing after an error or a help text was printed. */
+    static std::optional<Arguments> parse(cxxopts::Options options,
+                                          std::span<const std::string> words)
+    {
+        options.add_options()("h,help", "print this text");
+        std::vector<const char *> argv{"sapphireladder"};
+        for (const auto &it : words)
+            argv.push_back(it.c_str());
+        try {
+            const auto result = options.parse(static_cast<int>(argv.size()), argv.data());
+            if (result.count("help") == 0)
+                return Arguments(result);
+            std::cout << options.help();
+        } catch (const cxxopts::exceptions::exception &ex) {
+            std::cerr << ex.what() << '\n';
+        }
+        return std::nullopt;
+    }
+
+    std::string text(const std::string &name) const
+    {
+        return m_result.count(name) > 0 ? m_result[name].as<std::string>() : std::string();
+    }
+    std::uint64_t number(const std::string &name) const
+    {
+        return m_result[name].as<std::uint64_t>();
+    }
+
+private:
+    explicit Arguments(cxxopts::ParseResult result)
+        : m_result(std::move(result))
+    {}
+
+    cxxopts::ParseResult m_result;
+};
+
+std::optional<Settings> loadSettings(const std::string &file)
+{
+    YamlFaults faults(file);
+    const auto text = readTextFile(file);
+    if (!text) {
+        std::cerr << text.error().toString() << '\n';
+        return std::nullopt;
+    }
+    auto settings = readSettings(text.value(), faults);
+    for (const auto &it : faults.list())
+        std::cerr << it.toString() << '\n';
+    return settings;
+}
+
+bool checkPresetFile(const std::string &file)
+{
+    YamlFaults faults(file);
+    const auto text = readTextFile(file);
+    if (!text) {
+        std::cerr << text.error().toString() << '\n';
+        return false;
+    }
+    const auto preset = readPreset(text.value(), faults);
+    for (const auto &it : faults.list())
+        std::cerr << it.toString() << '\n';
+    return preset.has_value();
+}
+
+/** Waits for SIGTERM or SIGINT. Both must be blocked in all threads. */
+void waitForStopSignal(const sigset_t &signals)
+{
+    int number = 0;
+    sigwait(&signals, &number);
+}
+
+sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    // A peer that closes early must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+cxxopts::Options adminOptions(const std::string &command, const std::string &help)
+{
+    cxxopts::Options options("sapphireladder " + command, help);
+    options.add_options()("admin", "address of a VM's admin endpoint",
+                          cxxopts::value<std::string>()->default_value("127.0.0.1:9000"));
+    return options;
+}
+
+/** Sends a request to the VM named on the command line and prints what it answers. */
+ExitCode printAdminAnswer(const Arguments &arguments, const AdminRequest &request)
+{
+    const auto endpoint = Endpoint::parse(arguments.text("admin"));
+    if (!endpoint) {
+        std::cerr << endpoint.error().toString() << '\n';
+        return ExitCode::Usage;
+    }
+    const auto answer = callAdmin(endpoint.value(), request);
+    if (!answer) {
+        std::cerr << answer.error().toString() << '\n';
+        return ExitCode::Unavailable;
+    }
+    const bool succeeded = answer.value().status < 300;
+    (succeeded ? std::cout : std::cerr) << answer.value().body << '\n';
+    return succeeded ? ExitCode::Success : ExitCode::Refused;
+}
+
+ExitCode exitCodeOf(std::string_view status)
+{
+    struct Row
+    {
+        std::string_view status;
+        ExitCode code;
+    };
+    static constexpr Row rows[] = {
+            {"accepted", ExitCode::Success},
+            {"conflict", ExitCode::Conflict},
+            {"refused", ExitCode::Refused},
+    };
+    for (const auto &it : rows) {
+        if (it.status == status)
+            return it.code;
+    }
+    return ExitCode::Unknown;
+}
+
+} // namespace
+
+const CommandLine::CommandRow CommandLine::commands[] = {
+        {"serve", &CommandLine::serve, "run a VM's process"},
+        {"check", &CommandLine::check, "check settings and preset files"},
+        {"preset", &CommandLine::preset, "list, show, store and switch presets"},
+        {"status", &CommandLine::status, "print a VM's status"},
+};
+
+const CommandLine::CommandRow CommandLine::presetCommands[] = {
+        {"list", &CommandLine::presetList, "print the names of the stored presets"},
+        {"show", &CommandLine::presetShow, "print a stored preset"},
+        {"put", &CommandLine::presetPut, "check and store a preset"},
+        {"switch", &CommandLine::presetSwitch, "put a stored preset in force"},
+        {"current", &CommandLine::presetCurrent, "print which preset is in force"},
+};
+
+ExitCode CommandLine::run(std::span<const std::string> arguments)
+{
+    return dispatch(commands, "sapphireladder", arguments);
+}
+
+ExitCode CommandLine::dispatch(std::span<const CommandRow> rows, std::string_view program,
+                               Words words)
+{
+    for (const auto &it : rows) {
+        if (!words.empty() && words.front() == it.name)
+            return (this->*it.command)(words.subspan(1));
+    }
+    const bool askedForHelp = !words.empty()
+                              && (words.front() == "--help" || words.front() == "-h");
+    auto &out = askedForHelp ? std::cout : std::cerr;
+    out << "usage: " << program << " COMMAND [OPTIONS]\n";
+    for (const auto &it : rows)
+        out << "  " << it.name << "  " << it.help << '\n';
+    return askedForHelp ? ExitCode::Success : ExitCode::Usage;
+}
+
+ExitCode CommandLine::serve(Words words)
+{
+    cxxopts::Options options("sapphireladder serve", "Runs a VM's process until SIGTERM.");
+    options.add_options()("settings", "settings file", cxxopts::value<std::string>());
+    const auto arguments = Arguments::parse(std::move(options), words);
+    if (!arguments)
+        return ExitCode::Usage;
+    const auto settings = loadSettings(arguments->text("settings"));
+    if (!settings)
+        return ExitCode::Usage;
+    EventLog::initialize("sapphireladder");
+    EventLog events;
+    const auto signals = blockStopSignals();
+    auto process = VmProcess::create(*settings, events);
+    if (!process) {
+        std::cerr << process.error().toString() << '\n';
+        return ExitCode::Unavailable;
+    }
+    waitForStopSignal(signals);
+    process.value()->stop();
+    return ExitCode::Success;
+}
+
+ExitCode CommandLine::check(Words words)
+{
+    cxxopts::Options options("sapphireladder check", "Checks files and prints each fault.");
+    options.add_options()("settings", "settings file", cxxopts::value<std::string>());
+    options.add_options()("preset", "preset file", cxxopts::value<std::string>());
+    const auto arguments = Arguments::parse(std::move(options), words);
+    if (!arguments)
+        return ExitCode::Usage;
+    bool valid = true;
+    if (const auto file = arguments->text("settings"); !file.empty())
+        valid = loadSettings(file).has_value() && valid;
+    if (const auto file = arguments->text("preset"); !file.empty())
+        valid = checkPresetFile(file) && valid;
+    if (valid)
+        std::cout << "ok\n";
+    return valid ? ExitCode::Success : ExitCode::Usage;
+}
+
+ExitCode CommandLine::status(Words words)
+{
+    const auto arguments = Arguments::parse(adminOptions("status", "Prints a VM's status."), words);
+    if (!arguments)
+        return ExitCode::Usage;
+    return printAdminAnswer(*arguments, {"GET", "/status", {}});
+}
+
+ExitCode CommandLine::preset(Words words)
+{
+    return dispatch(presetCommands, "sapphireladder preset", words);
+}
+
+ExitCode CommandLine::presetList(Words words)
+{
+    const auto arguments = Arguments::parse(
+            adminOptions("preset list", "Prints the stored presets."), words);
+    if (!arguments)
+        return ExitCode::Usage;
+    return printAdminAnswer(*arguments, {"GET", "/presets", {}});
+}
+
+ExitCode CommandLine::presetShow(Words words)
+{
+    auto options = adminOptions("preset show", "Prints a stored preset.");
+    options.add_options()("name", "name of the preset", cxxopts::value<std::string>());
+    options.parse_positional("name");
+    const auto arguments = Arguments::parse(std::move(options), words);
+    if (!arguments)
+        return ExitCode::Usage;
+    return printAdminAnswer(*arguments, {"GET", "/presets/" + arguments->text("name"), {}});
+}
+
+ExitCode CommandLine::presetPut(Words words)
+{
+    auto options = adminOptions("preset put", "Checks and stores a preset.");
+    options.add_options()("file", "preset file", cxxopts::value<std::string>());
+    options.parse_positional("file");
+    const auto arguments = Arguments::parse(std::move(options), words);
+    if (!arguments)
+        return ExitCode::Usage;
+    const auto file = arguments->text("file");
+    const auto text = readTextFile(file);
+    YamlFaults faults(file);
+    const auto preset = text ? readPreset(text.value(), faults) : std::nullopt;
+    if (!preset) {
+        checkPresetFile(file);
+        return ExitCode::Usage;
+    }
+    return printAdminAnswer(*arguments, {"PUT", "/presets/" + preset->name.string(), text.value()});
+}
+
+ExitCode CommandLine::presetSwitch(Words words)
+{
+    auto options = adminOptions("preset switch", "Puts a stored preset in force.");
+    options.add_options()("name", "name of the preset", cxxopts::value<std::string>());
+    options.add_options()("operation", "id of the operation; repeating one is safe",
+                          cxxopts::value<std::string>());
+    options.add_options()("author", "who asks", cxxopts::value<std::string>());
+    options.add_options()("expect", "version that must be in force; 0 for any",
+                          cxxopts::value<std::uint64_t>()->default_value("0"));
+    options.parse_positional("name");
+    const auto arguments = Arguments::parse(std::move(options), words);
+    if (!arguments)
+        return ExitCode::Usage;
+    auto operation = arguments->text("operation");
+    if (operation.empty())
+        operation = RandomSource::fromSystem().hexDigits();
+    const nlohmann::json request = {{"preset", arguments->text("name")},
+                                    {"operation", operation},
+                                    {"author", arguments->text("author")},
+                                    {"expected_version", arguments->number("expect")}};
+    const auto endpoint = Endpoint::parse(arguments->text("admin"));
+    if (!endpoint) {
+        std::cerr << endpoint.error().toString() << '\n';
+        return ExitCode::Usage;
+    }
+    const auto text = request.dump();
+    const auto answer = callAdmin(endpoint.value(), {"POST", "/preset/in-force", text});
+    if (!answer) {
+        std::cerr << answer.error().toString() << "\nunknown: repeat with --operation " << operation
+                  << '\n';
+        return ExitCode::Unknown;
+    }
+    std::cout << answer.value().body << '\n';
+    const auto object = nlohmann::json::parse(answer.value().body, nullptr, false);
+    if (answer.value().status >= 400 || !object.is_object())
+        return ExitCode::Refused;
+    return exitCodeOf(object.value("status", ""));
+}
+
+ExitCode CommandLine::presetCurrent(Words words)
+{
+    const auto arguments = Arguments::parse(
+            adminOptions("preset current", "Prints which preset is in force."), words);
+    if (!arguments)
+        return ExitCode::Usage;
+    return printAdminAnswer(*arguments, {"GET", "/preset/in-force", {}});
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Main/VmProcess.cpp
@@ -0,0 +1,229 @@
+#include "Main/VmProcess.h"
+
+#include "Version/Yaml/VersionYaml.h"
+
+#include <nlohmann/json.hpp>
+
+#include <future>
+
+namespace Sapphireladder {
+
+namespace {
+
+constexpr unsigned ioThreadCount = 2;
+constexpr Duration tickInterval = std::chrono::milliseconds(100);
+
+AdminReply errorReply(unsigned status, const Error &error)
+{
+    return {status, "application/json", nlohmann::json({{"error", error.toString()}}).dump()};
+}
+
+} // namespace
+
+Result<std::unique_ptr<VmProcess>> VmProcess::create(const Settings &settings, EventSink &events)
+{
+    std::unique_ptr<VmProcess> process(new VmProcess(settings, events));
+    TRY(process->start());
+    return process;
+}
+
+VmProcess::VmProcess(const Settings &settings, EventSink &events)
+    : m_settings(settings)
+    , m_events(events)
+    , m_platform(settings.platformEndpoint, settings.storeTimeout, m_clock)
+    , m_tables(m_platform)
+    , m_objects(m_platform)
+    , m_presets(m_tables, m_objects)
+    , m_transport(m_clock, settings.answerLimit)
+    , m_state(m_settings, m_clock, RandomSource::fromSystem(), *this, events, m_metrics)
+    , m_io(ioThreadCount)
+{}
+
+VmProcess::~VmProcess()
+{
+    m_listener.reset();
+    m_admin.reset();
+    m_io.stop();
+    m_control.stop();
+}
+
+Result<> VmProcess::start()
+{
+    TRY_ASSIGN(admin, AdminServer::create(m_settings.adminEndpoint, *this));
+    m_admin = std::move(admin);
+    ListenerOptions options;
+    options.endpoint = m_settings.callerEndpoint;
+    options.trafficThreads = m_settings.trafficThreads;
+    options.maxConnections = m_settings.maxConnections;
+    options.limits.bodyLimit = m_settings.bodyLimit;
+    TRY_ASSIGN(listener, CallerListener::create(options, *this));
+    m_listener = std::move(listener);
+    m_control.start(m_state, tickInterval);
+    m_events.record(EventId::ProcessStarted, {{"vm", m_settings.vm.string()},
+                                              {"zone", m_settings.zone.string()},
+                                              {"callers", m_settings.callerEndpoint.toString()}});
+    return success();
+}
+
+void VmProcess::stop()
+{
+    m_events.record(EventId::ShutdownStep, {{"step", "readiness-off"}});
+    m_control.post(StopRequested{});
+    m_stopping = true;
+    std::this_thread::sleep_for(m_settings.lameduck);
+    m_events.record(EventId::ShutdownStep, {{"step", "finish-in-flight"}});
+    m_listener->stop();
+    m_events.record(EventId::ProcessStopped, {});
+}
+
+std::shared_ptr<const PresetSnapshot> VmProcess::preset() const
+{
+    const auto current = snapshot();
+    return current ? current->preset : nullptr;
+}
+
+RequestOutcome VmProcess::serve(const RequestInfo &info, const ServicePolicy &policy,
+                                std::span<const HeaderField> headers, std::string_view body)
+{
+    const auto current = snapshot();
+    const auto it = current->services.find(info.service.view());
+    // A switch between preset() and here may have dropped the service.
+    if (it == current->services.end())
+        return Refusal{RefusalReason::UnknownService};
+    auto &service = *it->second;
+    RequestExecutor executor({service.gate, m_transport, service.budget, m_metrics, m_clock},
+                             policy);
+    return executor.run(info, headers, body);
+}
+
+void VmProcess::recordOutcome(const RequestOutcome &outcome, Duration latency)
+{
+    m_metrics.recordOutcome(outcome, latency);
+}
+
+AdminReply VmProcess::ready()
+{
+    if (m_ready)
+        return {200, "text/plain", "ready\n"};
+    return {503, "text/plain", "not ready\n"};
+}
+
+AdminReply VmProcess::status()
+{
+    const auto current = preset();
+    const nlohmann::json object = {
+            {"vm", m_settings.vm.string()},
+            {"zone", m_settings.zone.string()},
+            {"ready", m_ready.load()},
+            {"version", current ? current->version() : 0},
+            {"preset", current ? current->preset().name.string() : ""},
+            {"digest", current ? current->digest().string() : ""},
+            {"connections", m_listener->connectionCount()},
+    };
+    return {200, "application/json", object.dump()};
+}
+
+AdminReply VmProcess::metrics()
+{
+    return {200, "text/plain; version=0.0.4", m_metrics.toText()};
+}
+
+AdminReply VmProcess::listPresets()
+{
+    const auto names = m_presets.listPresets();
+    if (!names)
+        return errorReply(503, names.error());
+    auto array = nlohmann::json::array();
+    for (const auto &it : names.value())
+        array.push_back(it.string());
+    return {200, "application/json", array.dump()};
+}
+
+AdminReply VmProcess::showPreset(std::string_view name)
+{
+    const auto digest = m_presets.readDigest(PresetName(name));
+    if (!digest)
+        return errorReply(404, digest.error());
+    auto text = m_presets.readText(digest.value());
+    if (!text)
+        return errorReply(503, text.error());
+    return {200, "application/yaml", std::move(text.value())};
+}
+
+AdminReply VmProcess::putPreset(std::string_view name, std::string_view text)
+{
+    YamlFaults faults{std::string(name)};
+    const auto preset = Sapphireladder::readPreset(text, faults);
+    if (!preset)
+        return errorReply(422, faults.list().front());
+    const auto digest = digestOf(text);
+    const auto put = m_presets.putPreset(PresetName(name), digest, text);
+    if (!put)
+        return errorReply(503, put.error());
+    return {200, "application/json", nlohmann::json({{"digest", digest.string()}}).dump()};
+}
+
+AdminReply VmProcess::inForce()
+{
+    const auto row = m_presets.readInForce();
+    if (!row)
+        return errorReply(503, row.error());
+    return {200, "application/json", encodeInForce(row.value().inForce)};
+}
+
+AdminReply VmProcess::switchPreset(std::string_view request)
+{
+    auto decoded = decodeSwitchRequest(request);
+    if (!decoded)
+        return errorReply(400, decoded.error());
+    auto promise = std::make_shared<std::promise<SwitchResult>>();
+    auto future = promise->get_future();
+    const auto reply = [promise](const SwitchResult &result) { promise->set_value(result); };
+    if (!m_control.post(SwitchCommand{std::move(decoded.value()), reply}))
+        return errorReply(503, makeError(ProcessError::MailboxFull));
+    // Each of the switch's store calls has its own deadline; there are at most five.
+    constexpr int maxStoreCalls = 6;
+    SwitchResult result;
+    if (future.wait_for(m_settings.storeTimeout * maxStoreCalls) == std::future_status::ready)
+        result = future.get();
+    return {200, "application/json", encodeSwitchResult(result)};
+}
+
+void VmProcess::readInForce()
+{
+    m_io.post([this] { m_control.post(InForceRead{m_presets.readInForce()}); });
+}
+
+void VmProcess::readPreset(const InForce &inForce)
+{
+    m_io.post([this, inForce] {
+        const auto read = [&]() -> Result<std::shared_ptr<const PresetSnapshot>> {
+            TRY_ASSIGN(text, m_presets.readText(inForce.digest));
+            return readSnapshot(inForce.version, text);
+        };
+        m_control.post(PresetRead{inForce, read()});
+    });
+}
+
+void VmProcess::runSwitch(const SwitchCommand &command)
+{
+    const bool posted = m_io.post([this, command] {
+        const auto result = Sapphireladder::switchPreset(command.request, m_presets);
+        command.reply(result);
+        m_control.post(SwitchFinished{result});
+    });
+    if (!posted)
+        command.reply({SwitchStatus::Refused, {}, make_error_code(ProcessError::MailboxFull)});
+}
+
+void VmProcess::publish(std::shared_ptr<const FleetSnapshot> snapshot)
+{
+    std::atomic_store(&m_snapshot, std::move(snapshot));
+}
+
+void VmProcess::setReady(bool ready, std::string_view)
+{
+    m_ready = ready;
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Main/VmProcess.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "Connection/Http/ConnectionHttp.h"
+#include "Process/Http/ProcessHttp.h"
+#include "Process/Io/ProcessIo.h"
+
+#include <memory>
+#include <mutex>
+
+namespace Sapphireladder {
+
+/** One VM's process: its threads, and the state that they share. */
+class VmProcess final
+    : private TrafficService
+    , private AdminService
+    , private ControlActions
+{
+public:
+    /**
+     * Starts serving.
+     * @param settings checked settings
+     * @param events receives events and outlives the process object
+     * @return the running process, or why an address cannot be listened on.
+     */
+    static Result<std::unique_ptr<VmProcess>> create(const Settings &settings, EventSink &events);
+    ~VmProcess() override;
+
+    /** Stops in steps that cut no request in flight. Returns when all threads have ended. */
+    void stop();
+
+private:
+    VmProcess(const Settings &settings, EventSink &events);
+    Result<> start();
+
+    std::shared_ptr<const FleetSnapshot> snapshot() const { return std::atomic_load(&m_snapshot); }
+
+    // TrafficService, called by traffic threads.
+    std::shared_ptr<const PresetSnapshot> preset() const override;
+    RequestOutcome serve(const RequestInfo &info, const ServicePolicy &policy,
+                         std::span<const HeaderField> headers, std::string_view body) override;
+    void recordOutcome(const RequestOutcome &outcome, Duration latency) override;
+    bool isStopping() const override { return m_stopping; }
+
+    // AdminService, called by the admin endpoint's threads.
+    AdminReply ready() override;
+    AdminReply status() override;
+    AdminReply metrics() override;
+    AdminReply listPresets() override;
+    AdminReply showPreset(std::string_view name) override;
+    AdminReply putPreset(std::string_view name, std::string_view text) override;
+    AdminReply inForce() override;
+    AdminReply switchPreset(std::string_view request) override;
+
+    // ControlActions, called by the control thread.
+    void readInForce() override;
+    void readPreset(const InForce &inForce) override;
+    void runSwitch(const SwitchCommand &command) override;
+    void publish(std::shared_ptr<const FleetSnapshot> snapshot) override;
+    void setReady(bool ready, std::string_view why) override;
+
+    const Settings m_settings;
+    EventSink &m_events;
+    SteadyClock m_clock;
+    Metrics m_metrics;
+    PlatformClient m_platform;
+    TableClient m_tables;
+    ObjectClient m_objects;
+    PresetStoreClient m_presets;
+    HttpTransport m_transport;
+
+    /** Read and written by std::atomic_load and std::atomic_store only. */
+    std::shared_ptr<const FleetSnapshot> m_snapshot;
+    std::atomic<bool> m_ready{false};
+    std::atomic<bool> m_stopping{false};
+
+    ControlState m_state;
+    ControlThread m_control;
+    IoThreads m_io;
+    std::unique_ptr<AdminServer> m_admin;
+    std::unique_ptr<CallerListener> m_listener;
+};
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Http/AdminServer.cpp
@@ -0,0 +1,166 @@
+#include "Process/Http/ProcessHttp.h"
+
+#include <Poco/Exception.h>
+#include <Poco/Net/HTTPRequestHandler.h>
+#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/ServerSocket.h>
+
+#include <istream>
+
+namespace Sapphireladder {
+
+namespace {
+
+using Poco::Net::HTTPServerRequest;
+using Poco::Net::HTTPServerResponse;
+
+/** Largest body of an operator's request in bytes. */
+constexpr std::size_t maxAdminBody = 8 * mebibyte;
+
+std::optional<std::string> readBody(HTTPServerRequest &request)
+{
+    std::string body;
+    char buf[16384];
+    auto &stream = request.stream();
+    while (stream.read(buf, sizeof buf), stream.gcount() > 0) {
+        body.append(buf, static_cast<std::size_t>(stream.gcount()));
+        if (body.size() > maxAdminBody)
+            return std::nullopt;
+    }
+    return body;
+}
+
+/** One request of an operator. */
+struct AdminCall
+{
+    AdminService &service;
+    std::string_view name;
+    std::string_view body;
+};
+
+/** One row of the table of routes. A path that ends in "/" is followed by a name. */
+struct AdminRoute
+{
+    std::string_view method;
+    std::string_view path;
+    AdminReply (*answer)(const AdminCall &call);
+};
+
+constexpr AdminRoute routes[] = {
+        {"GET", "/ready", [](const AdminCall &call) { return call.service.ready(); }},
+        {"GET", "/status", [](const AdminCall &call) { return call.service.status(); }},
+        {"GET", "/metrics", [](const AdminCall &call) { return call.service.metrics(); }},
+        {"GET", "/presets", [](const AdminCall &call) { return call.service.listPresets(); }},
+        {"GET", "/presets/",
+         [](const AdminCall &call) { return call.service.showPreset(call.name); }},
+        {"PUT", "/presets/",
+         [](const AdminCall &call) { return call.service.putPreset(call.name, call.body); }},
+        {"GET", "/preset/in-force", [](const AdminCall &call) { return call.service.inForce(); }},
+        {"POST", "/preset/in-force",
+         [](const AdminCall &call) { return call.service.switchPreset(call.body); }},
+};
+
+bool matches(const AdminRoute &route, std::string_view method, std::string_view path)
+{
+    if (method != route.method)
+        return false;
+    if (!route.path.ends_with('/'))
+        return path == route.path;
+    return path.size() > route.path.size() && path.starts_with(route.path);
+}
+
+AdminReply answer(AdminService &service, HTTPServerRequest &request)
+{
+    const std::string path = request.getURI();
+    for (const auto &it : routes) {
+        if (!matches(it, request.getMethod(), path))
+            continue;
+        const auto body = readBody(request);
+        if (!body)
+            return {413, "text/plain", "body is too large\n"};
+        const auto name = std::string_view(path).substr(std::min(it.path.size(), path.size()));
+        return it.answer({service, name, *body});
+    }
+    return {404, "text/plain", "no such page\n"};
+}
+
+class AdminHandler final : public Poco::Net::HTTPRequestHandler
+{
+public:
+    explicit AdminHandler(AdminService &service)
+        : m_service(service)
+    {}
+
+    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+    {
+        const auto reply = answer(m_service, request);
+        response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(reply.status));
+        response.setContentType(reply.contentType);
+        // Two threads serve this endpoint, and a kept connection would hold one of them.
+        response.setKeepAlive(false);
+        response.sendBuffer(reply.body.data(), reply.body.size());
+    }
+
+private:
+    AdminService &m_service;
+};
+
+class AdminHandlerFactory final : public Poco::Net::HTTPRequestHandlerFactory
+{
+public:
+    explicit AdminHandlerFactory(AdminService &service)
+        : m_service(service)
+    {}
+
+    Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override
+    {
+        return new AdminHandler(m_service);
+    }
+
+private:
+    AdminService &m_service;
+};
+
+Poco::Net::HTTPServerParams::Ptr adminParams()
+{
+    Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
+    constexpr int adminThreads = 2;
+    constexpr int timeoutSeconds = 5;
+    params->setMaxThreads(adminThreads);
+    params->setMaxQueued(64);
+    params->setKeepAlive(false);
+    params->setTimeout(Poco::Timespan(timeoutSeconds, 0));
+    return params;
+}
+
+} // namespace
+
+Result<std::unique_ptr<AdminServer>> AdminServer::create(const Endpoint &endpoint,
+                                                         AdminService &service)
+{
+    try {
+        Poco::Net::ServerSocket socket;
+        socket.bind(Poco::Net::SocketAddress(endpoint.host, endpoint.port), true);
+        socket.listen();
+        auto server = std::make_unique<Poco::Net::HTTPServer>(new AdminHandlerFactory(service),
+                                                              socket, adminParams());
+        server->start();
+        return std::unique_ptr<AdminServer>(new AdminServer(std::move(server)));
+    } catch (const Poco::Exception &) {
+        return makeError(ConnectionError::ListenFailed, endpoint.toString());
+    }
+}
+
+AdminServer::AdminServer(std::unique_ptr<Poco::Net::HTTPServer> server)
+    : m_server(std::move(server))
+{}
+
+AdminServer::~AdminServer()
+{
+    m_server->stopAll(false);
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Http/AdminService.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Process/Process.h"
+
+#include <string>
+#include <string_view>
+
+namespace Sapphireladder {
+
+/** An answer of the admin endpoint. */
+struct AdminReply
+{
+    unsigned status = 200;
+    std::string contentType = "application/json";
+    std::string body;
+};
+
+/** What the admin endpoint offers. Calls may block for the length of a few store calls. */
+class AdminService
+{
+public:
+    virtual ~AdminService() = default;
+    virtual AdminReply ready() = 0;
+    virtual AdminReply status() = 0;
+    virtual AdminReply metrics() = 0;
+    virtual AdminReply listPresets() = 0;
+    virtual AdminReply showPreset(std::string_view name) = 0;
+    virtual AdminReply putPreset(std::string_view name, std::string_view text) = 0;
+    virtual AdminReply inForce() = 0;
+    virtual AdminReply switchPreset(std::string_view request) = 0;
+};
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Http/PlatformClient.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "Connection/Http/ConnectionHttp.h"
+#include "Process/Process.h"
+
+#include <variant>
+
+namespace Sapphireladder {
+
+/** One request to the platform. The views are valid during the call. */
+struct PlatformRequest
+{
+    std::string_view method;
+    std::string path;
+    std::vector<HeaderField> headers;
+    std::string_view body;
+};
+
+/** HTTP calls to the platform, each with a deadline. Safe for several threads. */
+class PlatformClient
+{
+public:
+    /** Largest answer of the platform in bytes. A preset of 2,400 targets has about 200 KB. */
+    static constexpr std::size_t answerLimit = 8 * mebibyte;
+
+    /** @param clock outlives the client */
+    PlatformClient(Endpoint endpoint, Duration timeout, const Clock &clock);
+
+    /** @return the whole answer, or whether the platform may have run the request. */
+    ExchangeEnd call(const PlatformRequest &request);
+
+private:
+    const Endpoint m_endpoint;
+    const Duration m_timeout;
+    const Clock &m_clock;
+    ConnectionPool m_pool;
+};
+
+/** Escapes a key for use as one segment of a path. */
+std::string encodeSegment(std::string_view text);
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Http/PresetStoreClient.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "Process/Process.h"
+
+namespace Sapphireladder {
+
+/** Presets in the platform's table service and object store, encoded as JSON rows. */
+class PresetStoreClient final : public PresetStore
+{
+public:
+    /** The references outlive the object. */
+    PresetStoreClient(TableService &tables, ObjectStore &objects)
+        : m_tables(tables)
+        , m_objects(objects)
+    {}
+
+    Result<InForceRow> readInForce() override;
+    WriteResult writeInForce(const InForce &next, std::string_view tag) override;
+    Result<ContentDigest> readDigest(const PresetName &name) override;
+    Result<std::string> readText(const ContentDigest &digest) override;
+    Result<> putPreset(const PresetName &name, const ContentDigest &digest,
+                       std::string_view text) override;
+    Result<std::vector<PresetName>> listPresets() override;
+
+private:
+    TableService &m_tables;
+    ObjectStore &m_objects;
+};
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Http/RowCodec.cpp
@@ -0,0 +1,87 @@
+#include "Process/Http/ProcessHttp.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Sapphireladder {
+
+namespace {
+
+using nlohmann::json;
+
+json toJson(const InForce &inForce)
+{
+    json recent = json::array();
+    for (const auto &it : inForce.recent)
+        recent.push_back({{"operation", it.operation.string()}, {"version", it.version}});
+    return {{"version", inForce.version},        {"preset", inForce.preset.string()},
+            {"digest", inForce.digest.string()}, {"operation", inForce.operation.string()},
+            {"author", inForce.author},          {"recent", std::move(recent)}};
+}
+
+InForce fromJson(const json &object)
+{
+    InForce inForce;
+    inForce.version = object.at("version").get<PresetVersion>();
+    inForce.preset = PresetName(object.at("preset").get<std::string>());
+    inForce.digest = ContentDigest(object.at("digest").get<std::string>());
+    inForce.operation = OperationId(object.at("operation").get<std::string>());
+    inForce.author = object.at("author").get<std::string>();
+    for (const auto &it : object.at("recent")) {
+        inForce.recent.push_back({OperationId(it.at("operation").get<std::string>()),
+                                  it.at("version").get<PresetVersion>()});
+    }
+    return inForce;
+}
+
+} // namespace
+
+std::string encodeInForce(const InForce &inForce)
+{
+    return toJson(inForce).dump();
+}
+
+Result<InForce> decodeInForce(std::string_view text)
+{
+    try {
+        return fromJson(json::parse(text));
+    } catch (const json::exception &) {
+        return makeError(ProcessError::StoreAnswerInvalid, "row in force");
+    }
+}
+
+std::string encodeSwitchRequest(const SwitchRequest &request)
+{
+    return json({{"preset", request.preset.string()},
+                 {"operation", request.operation.string()},
+                 {"author", request.author},
+                 {"expected_version", request.expectedVersion}})
+            .dump();
+}
+
+Result<SwitchRequest> decodeSwitchRequest(std::string_view text)
+{
+    try {
+        const auto object = json::parse(text);
+        SwitchRequest request;
+        request.preset = PresetName(object.at("preset").get<std::string>());
+        request.operation = OperationId(object.at("operation").get<std::string>());
+        request.author = object.value("author", "");
+        request.expectedVersion = object.value("expected_version", PresetVersion(0));
+        if (request.preset.isEmpty() || request.operation.isEmpty())
+            return makeError(ProcessError::AdminAnswerInvalid, "preset and operation are required");
+        return request;
+    } catch (const json::exception &) {
+        return makeError(ProcessError::AdminAnswerInvalid, "switch request");
+    }
+}
+
+std::string encodeSwitchResult(const SwitchResult &result)
+{
+    json object = {{"status", std::string(nameOf(result.status))},
+                   {"in_force", toJson(result.inForce)}};
+    if (result.reason)
+        object["reason"] = result.reason.message();
+    return object.dump();
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Http/TableClient.cpp
@@ -0,0 +1,122 @@
+#include "Process/Http/ProcessHttp.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Sapphireladder {
+
+namespace {
+
+std::string rowPath(std::string_view table, std::string_view key)
+{
+    return "/tables/" + encodeSegment(table) + "/" + encodeSegment(key);
+}
+
+/** Gives the whole answer of a read, or the error of its absence. */
+Result<WholeAnswer> readAnswer(PlatformClient &client, std::string path)
+{
+    const PlatformRequest request{"GET", path, {}, {}};
+    auto end = client.call(request);
+    if (auto *whole = std::get_if<WholeAnswer>(&end)) {
+        const auto status = whole->head.getStatus();
+        if (status == Poco::Net::HTTPResponse::HTTP_OK
+            || status == Poco::Net::HTTPResponse::HTTP_NOT_FOUND)
+            return std::move(*whole);
+    }
+    return makeError(ProcessError::StoreUnavailable, std::move(path));
+}
+
+bool isFound(const WholeAnswer &answer)
+{
+    return answer.head.getStatus() == Poco::Net::HTTPResponse::HTTP_OK;
+}
+
+} // namespace
+
+Result<std::optional<TableRow>> TableClient::read(std::string_view table, std::string_view key)
+{
+    TRY_ASSIGN(answer, readAnswer(m_client, rowPath(table, key)));
+    if (!isFound(answer))
+        return std::optional<TableRow>();
+    return std::optional(
+            TableRow{std::string(key), std::move(answer.body), answer.head.get("ETag", "")});
+}
+
+Result<std::vector<TableRow>> TableClient::list(std::string_view table, std::string_view prefix)
+{
+    const auto path = "/tables/" + encodeSegment(table) + "?prefix=" + encodeSegment(prefix);
+    TRY_ASSIGN(answer, readAnswer(m_client, path));
+    std::vector<TableRow> rows;
+    if (!isFound(answer))
+        return rows;
+    const auto json = nlohmann::json::parse(answer.body, nullptr, false);
+    if (!json.is_array())
+        return makeError(ProcessError::StoreAnswerInvalid, path);
+    for (const auto &it : json) {
+        const bool valid = it.is_object() && it.contains("key") && it.contains("value")
+                           && it.contains("tag") && it["key"].is_string() && it["value"].is_string()
+                           && it["tag"].is_string();
+        if (!valid)
+            return makeError(ProcessError::StoreAnswerInvalid, path);
+        rows.push_back({it["key"], it["value"], it["tag"]});
+    }
+    return rows;
+}
+
+WriteResult TableClient::write(const PlatformRequest &request)
+{
+    const auto end = m_client.call(request);
+    if (std::holds_alternative<NotRun>(end))
+        return {WriteStatus::NotWritten, {}};
+    const auto *whole = std::get_if<WholeAnswer>(&end);
+    if (!whole)
+        return {WriteStatus::Unknown, {}};
+    const int status = whole->head.getStatus();
+    if (status >= 200 && status < 300)
+        return {WriteStatus::Written, whole->head.get("ETag", "")};
+    if (status == Poco::Net::HTTPResponse::HTTP_PRECONDITION_FAILED)
+        return {WriteStatus::ConditionFailed, {}};
+    // A client error was judged before the write. A server error may have come after it.
+    return {status < 500 ? WriteStatus::NotWritten : WriteStatus::Unknown, {}};
+}
+
+WriteResult TableClient::insert(std::string_view table, std::string_view key,
+                                std::string_view value)
+{
+    return write({"PUT", rowPath(table, key), {{"If-None-Match", "*"}}, value});
+}
+
+WriteResult TableClient::update(std::string_view table, std::string_view key,
+                                std::string_view value, std::string_view tag)
+{
+    return write({"PUT", rowPath(table, key), {{"If-Match", std::string(tag)}}, value});
+}
+
+WriteResult TableClient::put(std::string_view table, std::string_view key, std::string_view value)
+{
+    return write({"PUT", rowPath(table, key), {}, value});
+}
+
+WriteResult TableClient::remove(std::string_view table, std::string_view key, std::string_view tag)
+{
+    return write({"DELETE", rowPath(table, key), {{"If-Match", std::string(tag)}}, {}});
+}
+
+Result<std::optional<std::string>> ObjectClient::get(std::string_view name)
+{
+    TRY_ASSIGN(answer, readAnswer(m_client, "/objects/" + encodeSegment(name)));
+    if (!isFound(answer))
+        return std::optional<std::string>();
+    return std::optional(std::move(answer.body));
+}
+
+Result<> ObjectClient::put(std::string_view name, std::string_view content)
+{
+    const PlatformRequest request{"PUT", "/objects/" + encodeSegment(name), {}, content};
+    const auto end = m_client.call(request);
+    const auto *whole = std::get_if<WholeAnswer>(&end);
+    if (whole && whole->head.getStatus() < 300)
+        return success();
+    return makeError(ProcessError::StoreUnavailable, std::string(name));
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Io/IoThreads.cpp
@@ -0,0 +1,56 @@
+#include "Process/Io/ProcessIo.h"
+
+namespace Sapphireladder {
+
+IoThreads::IoThreads(unsigned count)
+{
+    for (unsigned i = 0; i < count; ++i)
+        m_threads.emplace_back([this] { run(); });
+}
+
+IoThreads::~IoThreads()
+{
+    stop();
+}
+
+void IoThreads::stop()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_closed = true;
+    }
+    m_changed.notify_all();
+    for (auto &it : m_threads) {
+        if (it.joinable())
+            it.join();
+    }
+}
+
+bool IoThreads::post(std::function<void()> call)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (m_closed || m_queue.size() >= queueCapacity)
+            return false;
+        m_queue.push_back(std::move(call));
+    }
+    m_changed.notify_one();
+    return true;
+}
+
+void IoThreads::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        m_changed.wait(lock, [this] { return m_closed || !m_queue.empty(); });
+        if (m_closed)
+            return;
+        const auto call = std::move(m_queue.front());
+        m_queue.pop_front();
+        lock.unlock();
+        call();
+        lock.lock();
+    }
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Io/ProcessIo.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/** @file Public header of the process's threads and its log. */
+
+#include "Process/Io/ControlThread.h"
+#include "Process/Io/EventLog.h"
+#include "Process/Io/IoThreads.h"
+#include "Process/Process.h"
--- /dev/null
+++ b/Source/Process/Metrics.cpp
@@ -0,0 +1,114 @@
+#include "Process/Process.h"
+
+#include <boost/histogram.hpp>
+
+#include <sstream>
+
+namespace Sapphireladder {
+
+namespace {
+
+constexpr double minMicros = 10.0;
+constexpr double maxMicros = 1e8;
+/** Bins from 10 us to 100 s; each is 8.4 % wider than the one before. */
+constexpr unsigned binCount = 200;
+
+template<typename Enum>
+void writeReasons(std::ostream &out, std::string_view name, std::string_view help,
+                  const ReasonCounters<Enum> &counters)
+{
+    out << "# HELP " << name << ' ' << help << "\n# TYPE " << name << " counter\n";
+    for (std::size_t i = 0; i < ReasonCounters<Enum>::size; ++i) {
+        const auto reason = static_cast<Enum>(i);
+        out << name << "{reason=\"" << nameOf(reason) << "\"} " << counters.value(reason) << '\n';
+    }
+}
+
+void writeCounter(std::ostream &out, std::string_view name, std::string_view help, std::uint64_t n)
+{
+    out << "# HELP " << name << ' ' << help << "\n# TYPE " << name << " counter\n";
+    out << name << ' ' << n << '\n';
+}
+
+} // namespace
+
+struct LatencyHistogram::Bins
+{
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using Count = boost::histogram::accumulators::thread_safe<std::uint64_t>;
+    using Storage = boost::histogram::dense_storage<Count>;
+
+    boost::histogram::histogram<std::tuple<Axis>, Storage> histogram =
+            boost::histogram::make_histogram_with(Storage(), Axis(binCount, minMicros, maxMicros));
+};
+
+LatencyHistogram::LatencyHistogram()
+    : m_bins(std::make_unique<Bins>())
+{}
+
+LatencyHistogram::~LatencyHistogram() = default;
+
+void LatencyHistogram::record(Duration latency)
+{
+    const double micros = std::chrono::duration<double, std::micro>(latency).count();
+    m_bins->histogram(std::max(micros, minMicros));
+}
+
+std::uint64_t LatencyHistogram::count() const
+{
+    std::uint64_t n = 0;
+    for (const auto &it : m_bins->histogram)
+        n += it;
+    return n;
+}
+
+Duration LatencyHistogram::quantile(double quantile) const
+{
+    const auto wanted = quantile * static_cast<double>(count());
+    double seen = 0;
+    const auto &axis = m_bins->histogram.axis();
+    for (int i = 0; i < axis.size(); ++i) {
+        seen += static_cast<double>(m_bins->histogram.at(i).load());
+        if (seen > 0 && seen >= wanted)
+            return fromSeconds(axis.bin(i).upper() / 1e6);
+    }
+    return Duration::zero();
+}
+
+void Metrics::recordOutcome(const RequestOutcome &outcome, Duration latency)
+{
+    if (const auto *refusal = std::get_if<Refusal>(&outcome)) {
+        m_refusals.increment(refusal->reason);
+    } else if (const auto *unknown = std::get_if<Unknown>(&outcome)) {
+        m_unknowns.increment(unknown->reason);
+    } else {
+        m_answered.fetch_add(1, std::memory_order_relaxed);
+        m_latency.record(latency);
+    }
+}
+
+std::string Metrics::toText() const
+{
+    std::ostringstream out;
+    writeCounter(out, "sapphireladder_answered_total", "Requests answered by a target.",
+                 answered());
+    writeReasons(out, "sapphireladder_refused_total", "Requests not run.", m_refusals);
+    writeReasons(out, "sapphireladder_unknown_total", "Requests whose fate is not known.",
+                 m_unknowns);
+    writeReasons(out, "sapphireladder_retries_total", "Attempts repeated.", m_retries);
+    writeReasons(out, "sapphireladder_retries_denied_total", "Failed attempts not repeated.",
+                 m_denials);
+    writeCounter(out, "sapphireladder_older_versions_total",
+                 "Preset versions heard of that are lower than the one applied.",
+                 m_olderVersions.load(std::memory_order_relaxed));
+    out << "# HELP sapphireladder_latency_seconds Time from arrival to answer.\n"
+        << "# TYPE sapphireladder_latency_seconds summary\n";
+    for (const double it : {0.5, 0.99, 0.999}) {
+        out << "sapphireladder_latency_seconds{quantile=\"" << it << "\"} "
+            << toSeconds(m_latency.quantile(it)) << '\n';
+    }
+    out << "sapphireladder_latency_seconds_count " << m_latency.count() << '\n';
+    return out.str();
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Metrics.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "Request/Request.h"
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace Sapphireladder {
+
+/** One atomic counter for each value of a reason enum. */
+template<typename Enum>
+class ReasonCounters
+{
+public:
+    static constexpr std::size_t size = static_cast<std::size_t>(Enum::Count);
+
+    void increment(Enum reason)
+    {
+        m_counts[static_cast<std::size_t>(reason)].fetch_add(1, std::memory_order_relaxed);
+    }
+    std::uint64_t value(Enum reason) const
+    {
+        return m_counts[static_cast<std::size_t>(reason)].load(std::memory_order_relaxed);
+    }
+
+private:
+    std::array<std::atomic<std::uint64_t>, size> m_counts{};
+};
+
+/** Latencies in microseconds, in bins that grow by a constant factor. Safe for several threads. */
+class LatencyHistogram
+{
+public:
+    LatencyHistogram();
+    ~LatencyHistogram();
+    void record(Duration latency);
+    /** @param quantile from 0 to 1 @return upper edge of the bin that holds the quantile. */
+    Duration quantile(double quantile) const;
+    std::uint64_t count() const;
+
+private:
+    struct Bins;
+    std::unique_ptr<Bins> m_bins;
+};
+
+/** Counters of the process. Written by all threads. */
+class Metrics final : public RequestObserver
+{
+public:
+    void retried(RetryReason reason) override { m_retries.increment(reason); }
+    void retryDenied(RetryDenial denial) override { m_denials.increment(denial); }
+
+    /** Counts an outcome that was told to a caller. */
+    void recordOutcome(const RequestOutcome &outcome, Duration latency);
+    /** Counts a version lower than the one applied that arrived from the store or a peer. */
+    void recordOlderVersion() { m_olderVersions.fetch_add(1, std::memory_order_relaxed); }
+
+    /** @return the counters in the text exposition format of Prometheus, version 0.0.4. */
+    std::string toText() const;
+
+    std::uint64_t answered() const { return m_answered.load(std::memory_order_relaxed); }
+    std::uint64_t refused(RefusalReason reason) const { return m_refusals.value(reason); }
+    std::uint64_t unknown(UnknownReason reason) const { return m_unknowns.value(reason); }
+
+private:
+    std::atomic<std::uint64_t> m_answered{0};
+    std::atomic<std::uint64_t> m_olderVersions{0};
+    ReasonCounters<RefusalReason> m_refusals;
+    ReasonCounters<UnknownReason> m_unknowns;
+    ReasonCounters<RetryReason> m_retries;
+    ReasonCounters<RetryDenial> m_denials;
+    LatencyHistogram m_latency;
+};
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/ProcessError.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <system_error>
+
+namespace Sapphireladder {
+
+/** Failures of the process's services. */
+enum class ProcessError {
+    StoreUnavailable = 1,
+    StoreAnswerInvalid,
+    PresetNotInStore,
+    MailboxFull,
+    Stopping,
+    PeerUnavailable,
+    AdminUnavailable,
+    AdminAnswerInvalid,
+};
+
+std::error_code make_error_code(ProcessError error);
+
+} // namespace Sapphireladder
+
+template<>
+struct std::is_error_code_enum<Sapphireladder::ProcessError> : std::true_type
+{};
--- /dev/null
+++ b/Source/Process/Yaml/ProcessYaml.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/** @file Public header of the YAML encoding of settings. */
+
+#include "Process/Process.h"
+#include "Process/Yaml/SettingsReader.h"
--- /dev/null
+++ b/Source/Request/Http/HeaderNames.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace Sapphireladder {
+
+inline const std::string requestIdHeader = "X-Request-Id";
+inline const std::string idempotencyKeyHeader = "Idempotency-Key";
+/** Remaining time of the request in milliseconds. */
+inline const std::string timeoutHeader = "Sapphireladder-Timeout-Ms";
+inline const std::string classHeader = "Sapphireladder-Class";
+inline const std::string nonIdempotentHeader = "Sapphireladder-Non-Idempotent";
+/** Attempts made before this one, at any hop of the chain. */
+inline const std::string attemptHeader = "Sapphireladder-Attempt";
+/** Hops of the chain before this one. */
+inline const std::string depthHeader = "Sapphireladder-Depth";
+inline const std::string outcomeHeader = "Sapphireladder-Outcome";
+inline const std::string reasonHeader = "Sapphireladder-Reason";
+/** Load of the target that answers, as "inflight/slots". */
+inline const std::string loadHeader = "Sapphireladder-Load";
+/** "true" in the answers of a target that is leaving. */
+inline const std::string drainingHeader = "Sapphireladder-Draining";
+
+/** @return whether the header concerns one connection only and is not passed on. */
+bool isHopByHopHeader(std::string_view name);
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Request/Http/RequestMapper.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "Request/Request.h"
+
+#include <Poco/Net/HTTPRequest.h>
+
+#include <variant>
+#include <vector>
+
+namespace Sapphireladder {
+
+/** A caller's request in the terms of the decisions. */
+struct MappedRequest
+{
+    RequestInfo info;
+    const ServicePolicy *policy = nullptr;
+    /** End-to-end headers to pass on. */
+    std::vector<HeaderField> headers;
+};
+
+/** Largest head of a caller's request in bytes. */
+constexpr std::size_t maxHeadSize = 16384;
+
+/**
+ * Reads the head of a caller's request.
+ * @param message head of the request; the result's views point into it
+ * @param snapshot preset to judge the request by
+ * @param now time of arrival
+ * @param random source of the request id if the caller gave none
+ * @return the request without fingerprint, or why it is refused.
+ */
+std::variant<MappedRequest, RefusalReason> mapRequest(const Poco::Net::HTTPRequest &message,
+                                                      const PresetSnapshot &snapshot, TimePoint now,
+                                                      RandomSource &random);
+
+/**
+ * Tells two requests with one idempotency key apart.
+ * @return digest of method, path and body.
+ */
+ContentDigest fingerprintOf(const RequestInfo &info, std::string_view body);
+
+/** @return whether the framing headers of the message contradict each other. */
+bool hasBadFraming(const Poco::Net::HTTPMessage &message);
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Request/Reasons.cpp
@@ -0,0 +1,70 @@
+#include "Request/Request.h"
+
+#include <array>
+
+namespace Sapphireladder {
+
+namespace {
+
+template<typename Enum>
+using NameTable = std::array<std::string_view, static_cast<std::size_t>(Enum::Count)>;
+
+constexpr NameTable<RefusalReason> refusalNames = {
+        "bad-request",
+        "bad-framing",
+        "header-too-large",
+        "body-too-large",
+        "unknown-service",
+        "deadline-expired",
+        "depth-exceeded",
+        "connection-limit",
+        "no-preset",
+        "queue-full",
+        "deadline-unreachable",
+        "queue-timeout",
+        "no-usable-target",
+        "target-unreachable",
+        "target-shed",
+        "claim-store-unavailable",
+        "claim-expired",
+        "key-reused",
+        "stopping",
+};
+
+constexpr NameTable<UnknownReason> unknownNames = {
+        "connection-reset", "answer-timeout",  "answer-cut",       "answer-without-length",
+        "answer-framing",   "answer-mismatch", "answer-too-large", "already-accepted",
+};
+
+constexpr NameTable<RetryReason> retryNames = {
+        "connect-failed", "stale-connection", "shed", "connection-reset", "answer-timeout",
+        "answer-cut",     "answer-mismatch",
+};
+
+constexpr NameTable<RetryDenial> denialNames = {
+        "not-idempotent", "budget-empty", "deadline-near", "attempt-limit", "attempt-mark",
+};
+
+} // namespace
+
+std::string_view nameOf(RefusalReason reason)
+{
+    return refusalNames.at(static_cast<std::size_t>(reason));
+}
+
+std::string_view nameOf(UnknownReason reason)
+{
+    return unknownNames.at(static_cast<std::size_t>(reason));
+}
+
+std::string_view nameOf(RetryReason reason)
+{
+    return retryNames.at(static_cast<std::size_t>(reason));
+}
+
+std::string_view nameOf(RetryDenial denial)
+{
+    return denialNames.at(static_cast<std::size_t>(denial));
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Request/Request.h
@@ -0,0 +1,14 @@
+#pragma once
+
+/** @file Public header of what lives for one request: its description, attempts and decisions. */
+
+#include "Request/AttemptResult.h"
+#include "Request/HeaderField.h"
+#include "Request/Reasons.h"
+#include "Request/RequestExecutor.h"
+#include "Request/RequestInfo.h"
+#include "Request/RequestPorts.h"
+#include "Request/RetryDecision.h"
+#include "Request/TargetLease.h"
+#include "Request/TargetSelector.h"
+#include "Version/Version.h"
--- /dev/null
+++ b/Source/Request/RequestExecutor.cpp
@@ -0,0 +1,69 @@
+#include "Request/Request.h"
+
+namespace Sapphireladder {
+
+namespace {
+
+RequestOutcome outcomeOf(AttemptResult result)
+{
+    if (auto *answered = std::get_if<Answered>(&result.end))
+        return std::move(answered->answer);
+    if (const auto *notRun = std::get_if<NotRun>(&result.end)) {
+        return Refusal{notRun->reason == RetryReason::Shed ? RefusalReason::TargetShed
+                                                           : RefusalReason::TargetUnreachable};
+    }
+    return std::get<Unknown>(result.end);
+}
+
+} // namespace
+
+RequestExecutor::RequestExecutor(const RequestPorts &ports, const ServicePolicy &policy)
+    : m_ports(ports)
+    , m_policy(policy)
+{}
+
+RequestOutcome RequestExecutor::run(const RequestInfo &info, std::span<const HeaderField> headers,
+                                    std::string_view body)
+{
+    if (m_ports.clock.now() >= info.deadline)
+        return Refusal{RefusalReason::DeadlineExpired};
+    m_ports.tokens.recordFirstAttempt();
+    std::optional<RequestOutcome> last;
+    while (true) {
+        const auto admission = m_ports.gate.acquire(info, m_tried);
+        if (const auto *reason = std::get_if<RefusalReason>(&admission))
+            return last ? std::move(*last) : Refusal{*reason};
+        const auto &lease = std::get<TargetLease>(admission);
+        auto result = attemptOnce(lease,
+                                  {info, *lease.target, m_policy, headers, body, m_attempts});
+        const auto failure = failureOf(result);
+        m_tried.push_back(lease.target->id);
+        if (!failure || !mayRetry(info, *failure))
+            return outcomeOf(std::move(result));
+        last = outcomeOf(std::move(result));
+    }
+}
+
+AttemptResult RequestExecutor::attemptOnce(const TargetLease &lease, const AttemptRequest &request)
+{
+    ++m_attempts;
+    const auto start = m_ports.clock.now();
+    auto result = m_ports.transport.attempt(request);
+    result.latency = m_ports.clock.now() - start;
+    m_ports.gate.release(lease, result);
+    return result;
+}
+
+bool RequestExecutor::mayRetry(const RequestInfo &info, const FailedAttempt &failure)
+{
+    const RetryContext context{info, m_policy.retry, m_attempts, m_ports.clock.now(), {}};
+    const auto decision = decideRetry(failure, context, m_ports.tokens);
+    if (const auto *denial = std::get_if<RetryDenial>(&decision)) {
+        m_ports.observer.retryDenied(*denial);
+        return false;
+    }
+    m_ports.observer.retried(std::get<RetryReason>(decision));
+    return true;
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Request/RetryDecision.cpp
@@ -0,0 +1,56 @@
+#include "Request/Request.h"
+
+namespace Sapphireladder {
+
+namespace {
+
+RetryReason retryReasonOf(UnknownReason reason)
+{
+    switch (reason) {
+    case UnknownReason::AnswerTimeout:
+        return RetryReason::AnswerTimeout;
+    case UnknownReason::AnswerCut:
+    case UnknownReason::AnswerWithoutLength:
+    case UnknownReason::AnswerFraming:
+    case UnknownReason::AnswerTooLarge:
+        return RetryReason::AnswerCut;
+    case UnknownReason::AnswerMismatch:
+        return RetryReason::AnswerMismatch;
+    case UnknownReason::ConnectionReset:
+    case UnknownReason::AlreadyAccepted:
+    case UnknownReason::Count:
+        break;
+    }
+    return RetryReason::ConnectionReset;
+}
+
+} // namespace
+
+std::optional<FailedAttempt> failureOf(const AttemptResult &result)
+{
+    if (const auto *notRun = std::get_if<NotRun>(&result.end))
+        return FailedAttempt{notRun->reason, false};
+    if (const auto *unknown = std::get_if<Unknown>(&result.end))
+        return FailedAttempt{retryReasonOf(unknown->reason), true};
+    return std::nullopt;
+}
+
+std::variant<RetryReason, RetryDenial> decideRetry(const FailedAttempt &failure,
+                                                   const RetryContext &context, RetryTokens &tokens)
+{
+    if (failure.mayHaveRun && !context.info.idempotent)
+        return RetryDenial::NotIdempotent;
+    // A hop further out already repeats the request. Repeating here too would multiply attempts
+    // with every hop of the chain.
+    if (context.info.attemptMark > 0)
+        return RetryDenial::AttemptMark;
+    if (context.attempts >= context.policy.maxAttempts)
+        return RetryDenial::AttemptLimit;
+    if (context.now + context.expectedTime >= context.info.deadline)
+        return RetryDenial::DeadlineNear;
+    if (!tokens.takeRetry())
+        return RetryDenial::BudgetEmpty;
+    return failure.reason;
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Request/TargetSelector.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "Core/Core.h"
+#include "Version/Version.h"
+
+#include <memory>
+#include <optional>
+#include <span>
+#include <string_view>
+
+namespace Sapphireladder {
+
+/** A usable target as the routing strategies see it. */
+struct TargetCandidate
+{
+    /** Index of the target in its service's view. */
+    std::size_t index = 0;
+    unsigned slots = 1;
+    /** Requests of this VM that the target has not answered. */
+    unsigned ownInFlight = 0;
+    /** Load in the last report; meaningless if there is none. */
+    unsigned reportedInFlight = 0;
+    /** Age of the last report, or nothing if there is none. */
+    std::optional<Duration> reportAge;
+    /** Requests sent by this VM since the last report, minus those answered since. */
+    int ownSinceReport = 0;
+    /** Mean service time seen by this VM. */
+    Duration serviceTime{};
+    bool sameZone = true;
+    /** Share of its full load that a returning target gets, above 0 and up to 1. */
+    double rampWeight = 1.0;
+};
+
+/** Chooses a target. One object serves all threads that route to one service. */
+class TargetSelector
+{
+public:
+    virtual ~TargetSelector() = default;
+
+    /**
+     * @param candidates usable targets with a free slot, at least one
+     * @param policy the service's routing policy
+     * @param random source of randomness of the calling thread
+     * @return position of the choice in `candidates`.
+     */
+    virtual std::size_t select(std::span<const TargetCandidate> candidates,
+                               const RoutingPolicy &policy, RandomSource &random) = 0;
+};
+
+/** One row of the table of routing strategies. */
+struct RoutingStrategy
+{
+    std::string_view name;
+    std::unique_ptr<TargetSelector> (*create)();
+};
+
+/** @return every strategy that a preset may name. */
+std::span<const RoutingStrategy> routingStrategies();
+
+/** @param name a strategy's name @return its row, or null. */
+const RoutingStrategy *findRoutingStrategy(std::string_view name);
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Version/VersionError.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <system_error>
+
+namespace Sapphireladder {
+
+/** Failures of presets and of switching between them. */
+enum class VersionError {
+    InvalidYaml = 1,
+    UnknownKey,
+    MissingKey,
+    WrongType,
+    WrongUnit,
+    OutOfRange,
+    DuplicateName,
+    UnknownChoice,
+    EmptyPreset,
+    FileUnreadable,
+    DigestMismatch,
+    UnknownPreset,
+};
+
+std::error_code make_error_code(VersionError error);
+
+} // namespace Sapphireladder
+
+template<>
+struct std::is_error_code_enum<Sapphireladder::VersionError> : std::true_type
+{};
--- /dev/null
+++ b/Source/Version/Yaml/PresetReader.cpp
@@ -0,0 +1,180 @@
+#include "Version/Yaml/VersionYaml.h"
+
+#include <set>
+
+namespace Sapphireladder {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Range<double> anyShare{0.0, 1.0};
+
+void readDeadline(YamlSection &section, ServicePolicy &service)
+{
+    auto &policy = service.deadline;
+    section.duration("default", policy.standard, {1ms, 1h});
+    section.duration("max", policy.maximum, {1ms, 1h});
+    if (policy.standard > policy.maximum)
+        section.addFault(VersionError::OutOfRange, "default", "above max");
+}
+
+void readQueue(YamlSection &section, ServicePolicy &service)
+{
+    auto &policy = service.queue;
+    section.wholeNumber("capacity", policy.capacity, {0U, 100000U});
+    section.number("deferrable_share", policy.deferrableShare, anyShare);
+}
+
+void readRetry(YamlSection &section, ServicePolicy &service)
+{
+    auto &policy = service.retry;
+    section.number("budget_ratio", policy.budgetRatio, anyShare);
+    section.wholeNumber("burst", policy.burst, {0U, 10000U});
+    section.wholeNumber("max_attempts", policy.maxAttempts, {1U, 10U});
+}
+
+void readHedge(YamlSection &section, ServicePolicy &service)
+{
+    auto &policy = service.hedge;
+    section.flag("enabled", policy.enabled);
+    section.number("quantile", policy.quantile, {0.5, 0.9999});
+    section.number("budget_ratio", policy.budgetRatio, anyShare);
+}
+
+void readRouting(YamlSection &section, ServicePolicy &service)
+{
+    auto &policy = service.routing;
+    section.text("strategy", policy.strategy);
+    section.wholeNumber("sample_size", policy.sampleSize, {1U, 64U});
+    section.duration("zone_margin", policy.zoneMargin, {0ms, 1s});
+    section.duration("report_half_life", policy.reportHalfLife, {1ms, 10s});
+}
+
+void readProbe(YamlSection &section, ServicePolicy &service)
+{
+    auto &policy = service.probe;
+    section.number("per_target_per_second", policy.perTargetPerSecond, {0.0, 100.0});
+    section.duration("after", policy.after, {10ms, 10min});
+    section.duration("timeout", policy.timeout, {1ms, 30s});
+}
+
+void readEjection(YamlSection &section, ServicePolicy &service)
+{
+    auto &policy = service.ejection;
+    section.wholeNumber("consecutive_faults", policy.consecutiveFaults, {1U, 1000U});
+    section.duration("base_time", policy.baseTime, {10ms, 10min});
+    section.duration("max_time", policy.maxTime, {10ms, 1h});
+    section.number("keep_share", policy.keepShare, anyShare);
+    section.duration("ramp", policy.ramp, {0ms, 10min});
+}
+
+void readShedMark(YamlSection &section, ServicePolicy &service)
+{
+    auto &mark = service.shedMark;
+    section.wholeNumber("status", mark.status, {400U, 599U});
+    section.text("header", mark.header);
+    section.text("value", mark.value);
+}
+
+/** One row of the table of a service's sub-sections. */
+struct PolicyReader
+{
+    std::string_view key;
+    void (*read)(YamlSection &section, ServicePolicy &service);
+};
+
+constexpr PolicyReader policyReaders[] = {
+        {"deadline", readDeadline}, {"queue", readQueue},        {"retry", readRetry},
+        {"hedge", readHedge},       {"routing", readRouting},    {"probe", readProbe},
+        {"ejection", readEjection}, {"shed_mark", readShedMark},
+};
+
+IdempotencyRule readIdempotencyRule(YamlSection &section)
+{
+    IdempotencyRule rule{"*", "/", true};
+    section.text("method", rule.method);
+    section.text("path_prefix", rule.pathPrefix);
+    section.flag("idempotent", rule.idempotent);
+    section.finish();
+    return rule;
+}
+
+TargetSpec readTarget(YamlSection &section)
+{
+    TargetSpec target;
+    section.identifier("id", target.id, Presence::Required);
+    section.endpoint("endpoint", target.endpoint, Presence::Required);
+    section.identifier("zone", target.zone, Presence::Required);
+    section.wholeNumber("slots", target.slots, {1U, 10000U});
+    section.finish();
+    return target;
+}
+
+/** Reports a name that stands twice among its siblings. */
+template<typename Tag>
+void checkUnique(std::set<Identifier<Tag>> &names, const Identifier<Tag> &name,
+                 std::string_view key, YamlSection &section)
+{
+    if (!name.isEmpty() && !names.insert(name).second)
+        section.addFault(VersionError::DuplicateName, key, name.view());
+}
+
+ServicePolicy readService(YamlSection &section)
+{
+    ServicePolicy service;
+    section.identifier("name", service.name, Presence::Required);
+    for (const auto &it : policyReaders) {
+        if (auto inner = section.section(it.key)) {
+            it.read(*inner, service);
+            inner->finish();
+        }
+    }
+    for (auto &it : section.sections("idempotency", Presence::Optional))
+        service.idempotencyRules.push_back(readIdempotencyRule(it));
+    std::set<TargetId> names;
+    for (auto &it : section.sections("targets", Presence::Required)) {
+        service.targets.push_back(readTarget(it));
+        checkUnique(names, service.targets.back().id, "id", it);
+    }
+    if (service.targets.empty())
+        section.addFault(VersionError::MissingKey, "targets", "at least one target");
+    section.finish();
+    return service;
+}
+
+} // namespace
+
+std::optional<Preset> readPreset(std::string_view text, YamlFaults &faults)
+{
+    const auto document = parseYaml(text, faults);
+    if (!document)
+        return std::nullopt;
+    Preset preset;
+    YamlSection root(*document, faults, "preset");
+    root.identifier("name", preset.name, Presence::Required);
+    root.wholeNumber("max_fleet", preset.maxFleet, {1U, 100000U});
+    std::set<ServiceName> names;
+    for (auto &it : root.sections("services", Presence::Required)) {
+        preset.services.push_back(readService(it));
+        checkUnique(names, preset.services.back().name, "name", it);
+    }
+    if (preset.services.empty())
+        root.addFault(VersionError::EmptyPreset, "services");
+    root.finish();
+    if (!faults.list().empty())
+        return std::nullopt;
+    return preset;
+}
+
+Result<std::shared_ptr<const PresetSnapshot>> readSnapshot(PresetVersion version,
+                                                           std::string_view text)
+{
+    YamlFaults faults("preset");
+    auto preset = readPreset(text, faults);
+    if (!preset)
+        return faults.list().front();
+    return PresetSnapshot::create(version, digestOf(text), std::move(*preset));
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Version/Yaml/PresetReader.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Version/Yaml/YamlSection.h"
+
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace Sapphireladder {
+
+/**
+ * Reads and checks a preset.
+ * @param text YAML text of the preset
+ * @param faults collects everything that is wrong
+ * @return the preset, or nothing if there is any fault.
+ */
+std::optional<Preset> readPreset(std::string_view text, YamlFaults &faults);
+
+/**
+ * Reads a preset's text into a snapshot.
+ * @param version number of the switch that put the preset in force
+ * @param text YAML text of the preset
+ * @return the snapshot, or the first fault.
+ */
+Result<std::shared_ptr<const PresetSnapshot>> readSnapshot(PresetVersion version,
+                                                           std::string_view text);
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Version/Yaml/YamlSection.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "Version/Version.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Sapphireladder {
+
+/** Collects the faults found in one YAML file. */
+class YamlFaults
+{
+public:
+    explicit YamlFaults(std::string file)
+        : m_file(std::move(file))
+    {}
+
+    /** Adds a fault at a line counted from 1. */
+    void add(VersionError code, std::string subject, std::size_t line);
+    const std::vector<Error> &list() const { return m_faults; }
+
+private:
+    std::string m_file;
+    std::vector<Error> m_faults;
+};
+
+/** Whether a key may be left out. */
+enum class Presence {
+    Optional,
+    Required,
+};
+
+/** Smallest and largest value allowed. */
+template<typename T>
+struct Range
+{
+    T min;
+    T max;
+};
+
+/**
+ * Strict reader of one YAML mapping. Each call reads one key; finish() reports the keys that no
+ * call asked for. Faults are collected, and a value with a fault is left as it was.
+ */
+class YamlSection
+{
+public:
+    /**
+     * @param node node that must be a mapping
+     * @param faults collects what is wrong; outlives the section
+     * @param name name of the section for messages
+     */
+    YamlSection(const YAML::Node &node, YamlFaults &faults, std::string name);
+
+    void text(std::string_view key, std::string &value, Presence presence = Presence::Optional);
+    void flag(std::string_view key, bool &value);
+    void duration(std::string_view key, Duration &value, Range<Duration> range);
+    void number(std::string_view key, double &value, Range<double> range);
+    /** Reads a whole number into an unsigned type. */
+    template<typename T>
+    void wholeNumber(std::string_view key, T &value, Range<T> range)
+    {
+        const auto n = readWholeNumber(key, {range.min, range.max});
+        if (n)
+            value = static_cast<T>(*n);
+    }
+    void endpoint(std::string_view key, Endpoint &value, Presence presence = Presence::Optional);
+    /** Reads text into an identifier; it must not be empty. */
+    template<typename Tag>
+    void identifier(std::string_view key, Identifier<Tag> &value, Presence presence)
+    {
+        std::string name;
+        text(key, name, presence);
+        if (!name.empty())
+            value = Identifier<Tag>(std::move(name));
+    }
+    /** @return the mapping under the key, or nothing if it is absent. */
+    std::optional<YamlSection> section(std::string_view key);
+    /** @return the mappings of the list under the key. */
+    std::vector<YamlSection> sections(std::string_view key, Presence presence);
+    /** @return the texts of the list under the key, with their lines. */
+    std::vector<YAML::Node> items(std::string_view key);
+
+    /** Reports keys that are not known or stand twice. */
+    void finish();
+
+    /** Adds a fault at the key's line, or at the section's if the key is absent. */
+    void addFault(VersionError code, std::string_view key, std::string_view detail = {});
+
+private:
+    std::optional<YAML::Node> find(std::string_view key, Presence presence);
+    std::optional<std::string> scalar(std::string_view key, Presence presence);
+    std::optional<std::uint64_t> readWholeNumber(std::string_view key, Range<std::uint64_t> range);
+    std::size_t line() const;
+
+    YAML::Node m_node;
+    YamlFaults *m_faults;
+    std::string m_name;
+    std::set<std::string, std::less<>> m_known;
+};
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Tests/Scenarios/Fleet.cpp
@@ -0,0 +1,173 @@
+#include "Scenarios/Fleet.h"
+
+#include "Main/AdminClient.h"
+
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/ServerSocket.h>
+
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+#include <thread>
+
+namespace Sapphireladder::Scenarios {
+
+namespace {
+
+/** Ports handed out by this test program, so that two of its fleets never share one. */
+std::set<std::uint16_t> &usedPorts()
+{
+    static std::set<std::uint16_t> ports;
+    return ports;
+}
+
+} // namespace
+
+Endpoint freeEndpoint()
+{
+    while (true) {
+        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+        const auto port = socket.address().port();
+        if (usedPorts().insert(port).second)
+            return {"127.0.0.1", port};
+    }
+}
+
+Fleet::Fleet(const FleetOptions &options)
+    : m_options(options)
+    , m_platformEndpoint(freeEndpoint())
+{
+    m_folder.createDirectories();
+    restartPlatform();
+    for (unsigned i = 0; i < options.targetCount; ++i) {
+        m_targets.push_back({freeEndpoint(), nullptr});
+        startTarget(i);
+    }
+    for (unsigned i = 0; i < options.vmCount; ++i) {
+        Vm vm{freeEndpoint(), freeEndpoint(), {}, nullptr};
+        std::ostringstream text;
+        text << "vm: vm-" << i << "\nzone: kolkata-dc\n"
+             << "caller_endpoint: " << vm.caller.toString() << '\n'
+             << "admin_endpoint: " << vm.admin.toString() << '\n'
+             << "peer_endpoint: " << freeEndpoint().toString() << '\n'
+             << "platform_endpoint: " << m_platformEndpoint.toString() << '\n'
+             << m_options.extraSettings;
+        vm.settingsFile = writeFile("vm-" + std::to_string(i) + ".yaml", text.str());
+        m_vms.push_back(std::move(vm));
+        restartVm(i);
+    }
+    for (std::size_t i = 0; i < m_vms.size(); ++i)
+        eventually([&] { return !admin(i, "/status").empty(); });
+}
+
+std::string Fleet::writeFile(const std::string &name, const std::string &text)
+{
+    auto path = m_folder.path() + "/" + name;
+    std::ofstream(path) << text;
+    return path;
+}
+
+void Fleet::startTarget(std::size_t index)
+{
+    m_targets[index].process = std::make_unique<ChildProcess>(
+            TESTBED_PROGRAM,
+            std::vector<std::string>{"target", "--endpoint", m_targets[index].endpoint.toString(),
+                                     "--name", "target-" + std::to_string(index), "--slots",
+                                     std::to_string(m_options.slots), "--service-time",
+                                     m_options.serviceTime});
+}
+
+void Fleet::restartTarget(std::size_t index)
+{
+    m_targets[index].process.reset();
+    startTarget(index);
+}
+
+void Fleet::restartVm(std::size_t index)
+{
+    auto &vm = m_vms[index];
+    vm.process.reset();
+    vm.process = std::make_unique<ChildProcess>(
+            PRODUCT_PROGRAM, std::vector<std::string>{"serve", "--settings", vm.settingsFile});
+}
+
+void Fleet::restartPlatform()
+{
+    m_platform.reset();
+    m_platform = std::make_unique<ChildProcess>(
+            TESTBED_PROGRAM,
+            std::vector<std::string>{"platform", "--endpoint", m_platformEndpoint.toString()});
+}
+
+std::string Fleet::writePreset(const std::string &name)
+{
+    std::ostringstream text;
+    text << "name: " << name << "\nservices:\n  - name: botolchin\n"
+         << m_options.extraPolicy << "    targets:\n";
+    for (std::size_t i = 0; i < m_targets.size(); ++i) {
+        text << "      - { id: target-" << i << ", endpoint: \"" << m_targets[i].endpoint.toString()
+             << "\", zone: kolkata-dc, slots: " << m_options.slots << " }\n";
+    }
+    return writeFile(name + ".yaml", text.str());
+}
+
+ProgramOutput Fleet::runProduct(const std::vector<std::string> &arguments)
+{
+    return runProgram(PRODUCT_PROGRAM, arguments);
+}
+
+ProgramOutput Fleet::switchTo(const std::string &name, std::size_t vmIndex)
+{
+    const auto admin = adminEndpoint(vmIndex).toString();
+    auto put = runProduct({"preset", "put", writePreset(name), "--admin", admin});
+    if (put.exitCode != 0)
+        return put;
+    return runProduct({"preset", "switch", name, "--admin", admin, "--author", "test"});
+}
+
+std::optional<Answer> Fleet::call(std::size_t vmIndex, const CallerRequest &request)
+{
+    const auto deadline = SteadyClock().now() + std::chrono::seconds(30);
+    auto session = UpstreamSession::create(callerEndpoint(vmIndex), deadline);
+    if (!session)
+        return std::nullopt;
+    Poco::Net::HTTPRequest message(request.method, request.path, Poco::Net::HTTPMessage::HTTP_1_1);
+    message.set("Host", request.host);
+    for (const auto &it : request.headers)
+        message.set(it.name, it.value);
+    auto end = exchange(*session.value(), message, request.body, 16 << 20, deadline);
+    auto *whole = std::get_if<WholeAnswer>(&end);
+    if (!whole)
+        return std::nullopt;
+    Answer answer{static_cast<unsigned>(whole->head.getStatus()), {}, std::move(whole->body)};
+    for (const auto &[name, value] : whole->head)
+        answer.headers.push_back({name, value});
+    return answer;
+}
+
+std::string Fleet::admin(std::size_t vmIndex, const std::string &path)
+{
+    const auto answer = callAdmin(adminEndpoint(vmIndex), {"GET", path, {}});
+    return answer ? answer.value().body : std::string();
+}
+
+PresetVersion Fleet::versionOf(std::size_t vmIndex)
+{
+    const auto object = nlohmann::json::parse(admin(vmIndex, "/status"), nullptr, false);
+    return object.is_object() ? object.value("version", PresetVersion(0)) : 0;
+}
+
+bool Fleet::eventually(const std::function<bool()> &condition, Duration timeout)
+{
+    const auto deadline = SteadyClock().now() + timeout;
+    while (SteadyClock().now() < deadline) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return condition();
+}
+
+} // namespace Sapphireladder::Scenarios
--- /dev/null
+++ b/Tests/Scenarios/Fleet.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "Connection/Http/ConnectionHttp.h"
+#include "Scenarios/ChildProcess.h"
+
+#include <Poco/TemporaryFile.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace Sapphireladder::Scenarios {
+
+/** Sizes of a test's fleet. */
+struct FleetOptions
+{
+    unsigned vmCount = 3;
+    unsigned targetCount = 3;
+    unsigned slots = 6;
+    std::string serviceTime = "5ms";
+    /** Lines added to each VM's settings. */
+    std::string extraSettings;
+    /** Lines added to the service in each preset, indented by four. */
+    std::string extraPolicy;
+};
+
+/** One request of a test's caller. */
+struct CallerRequest
+{
+    std::string method = "GET";
+    std::string path = "/codes/1";
+    std::vector<HeaderField> headers;
+    std::string body;
+    std::string host = "botolchin";
+};
+
+/** A platform, targets and VMs as real processes on free loopback ports. */
+class Fleet
+{
+public:
+    explicit Fleet(const FleetOptions &options = {});
+
+    std::size_t vmCount() const { return m_vms.size(); }
+    ChildProcess &vm(std::size_t index) { return *m_vms[index].process; }
+    ChildProcess &target(std::size_t index) { return *m_targets[index].process; }
+    ChildProcess &platform() { return *m_platform; }
+    Endpoint callerEndpoint(std::size_t index) const { return m_vms[index].caller; }
+    Endpoint adminEndpoint(std::size_t index) const { return m_vms[index].admin; }
+    Endpoint targetEndpoint(std::size_t index) const { return m_targets[index].endpoint; }
+    Endpoint platformEndpoint() const { return m_platformEndpoint; }
+
+    /** Starts a VM again with the same settings. */
+    void restartVm(std::size_t index);
+    void restartTarget(std::size_t index);
+    void restartPlatform();
+
+    /** Writes a preset file of one service, botolchin, with all targets. @return its path. */
+    std::string writePreset(const std::string &name);
+    /** Stores a preset and puts it in force through a VM. @return the end of the switch. */
+    ProgramOutput switchTo(const std::string &name, std::size_t vmIndex = 0);
+    ProgramOutput runProduct(const std::vector<std::string> &arguments);
+
+    /** @return the answer, or nothing if the connection failed. */
+    std::optional<Answer> call(std::size_t vmIndex, const CallerRequest &request = {});
+    /** @return body of a GET at the VM's admin endpoint, empty if it cannot be reached. */
+    std::string admin(std::size_t vmIndex, const std::string &path);
+    /** @return version that the VM applies, 0 if it cannot be reached. */
+    PresetVersion versionOf(std::size_t vmIndex);
+
+    /** Polls a condition. @return whether it became true before the timeout. */
+    static bool eventually(const std::function<bool()> &condition,
+                           Duration timeout = std::chrono::seconds(15));
+
+private:
+    struct Vm
+    {
+        Endpoint caller;
+        Endpoint admin;
+        std::string settingsFile;
+        std::unique_ptr<ChildProcess> process;
+    };
+    struct Target
+    {
+        Endpoint endpoint;
+        std::unique_ptr<ChildProcess> process;
+    };
+
+    void startTarget(std::size_t index);
+    std::string writeFile(const std::string &name, const std::string &text);
+
+    FleetOptions m_options;
+    Poco::TemporaryFile m_folder;
+    Endpoint m_platformEndpoint;
+    std::unique_ptr<ChildProcess> m_platform;
+    std::vector<Target> m_targets;
+    std::vector<Vm> m_vms;
+};
+
+/** @return a loopback address with a port that was free a moment ago. */
+Endpoint freeEndpoint();
+
+} // namespace Sapphireladder::Scenarios
--- /dev/null
+++ b/Tests/Version/PresetRegisterTest.cpp
@@ -0,0 +1,37 @@
+#include "Version/Version.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+
+TEST_SUITE_BEGIN("Version");
+
+struct PresetRegisterFixture
+{
+    static std::shared_ptr<const PresetSnapshot> snapshot(PresetVersion version, const char *digest)
+    {
+        Preset preset;
+        preset.name = PresetName("ordinary");
+        preset.services.emplace_back().name = ServiceName("botolchin");
+        return PresetSnapshot::create(version, ContentDigest(digest), preset).value();
+    }
+
+    PresetRegister presets;
+};
+
+// Guards against a delayed store answer or a lagging peer bringing back an older preset.
+TEST_CASE_FIXTURE(PresetRegisterFixture, "apply, with a lower version, keeps the higher one")
+{
+    CHECK(presets.apply(snapshot(2, "b")));
+    CHECK_FALSE(presets.apply(snapshot(1, "a")));
+    CHECK(presets.version() == 2);
+}
+
+TEST_CASE_FIXTURE(PresetRegisterFixture, "judge, with the same version and another digest, objects")
+{
+    presets.apply(snapshot(2, "b"));
+    CHECK(presets.judge(2, ContentDigest("b")) == VersionVerdict::Same);
+    CHECK(presets.judge(2, ContentDigest("c")) == VersionVerdict::Contradiction);
+}
+
+TEST_SUITE_END();
