--- a/Source/Main/CommandLine.cpp
+++ b/Source/Main/CommandLine.cpp
@@ -48,8 +48,8 @@
     }
 
 private:
-    explicit Arguments(cxxopts::ParseResult result)
-        : m_result(std::move(result))
+    explicit Arguments(const cxxopts::ParseResult &result)
+        : m_result(result)
     {}
 
     cxxopts::ParseResult m_result;
