Scenarios: Take ports from outside the ephemeral range

Cause, suspected: a VM did not start when an outgoing connection had taken the port that a moment before was free. Change: ports come from below the kernel's ephemeral range.

--- a/Tests/Scenarios/Fleet.cpp
+++ b/Tests/Scenarios/Fleet.cpp
@@ -2,13 +2,13 @@
 
 #include "Main/AdminClient.h"
 
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/ServerSocket.h>
 
 #include <nlohmann/json.hpp>
 
 #include <fstream>
-#include <set>
 #include <sstream>
 #include <thread>
 
@@ -16,21 +16,31 @@
 
 namespace {
 
-/** Ports handed out by this test program, so that two of its fleets never share one. */
-std::set<std::uint16_t> &usedPorts()
+/** @return whether the port can be listened on now. */
+bool isFree(std::uint16_t port)
 {
-    static std::set<std::uint16_t> ports;
-    return ports;
+    try {
+        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
+        return true;
+    } catch (const Poco::Exception &) {
+        return false;
+    }
 }
 
 } // namespace
 
 Endpoint freeEndpoint()
 {
+    // Below the kernel's ephemeral range (32768 and up): a port from that range can be taken by an
+    // outgoing connection before the program that it is meant for listens on it.
+    constexpr std::uint16_t firstPort = 10000;
+    constexpr std::uint16_t portCount = 22000;
+    static auto random = RandomSource::fromSystem();
+    static auto offset = random.below(portCount);
     while (true) {
-        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-        const auto port = socket.address().port();
-        if (usedPorts().insert(port).second)
+        const auto port = static_cast<std::uint16_t>(firstPort + offset);
+        offset = (offset + 1) % portCount;
+        if (isFree(port))
             return {"127.0.0.1", port};
     }
 }
