Version: Refuse unknown strategies and addresses that stand twice

Cause: new tests found that a preset with an unknown routing strategy was accepted, and would have ended the process when it was applied, and that two targets with one address were accepted although load is kept by address. Change: both are faults with file and line.

--- a/Source/Version/Preset.h
+++ b/Source/Version/Preset.h
@@ -3,6 +3,7 @@
 #include "Core/Core.h"
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Sapphireladder {
@@ -47,10 +48,15 @@
     double budgetRatio = 0.02;
 };
 
+/** Strategies that a preset may name. The objects behind the names are in the Request library. */
+constexpr std::string_view routingStrategyNames[] = {
+        "round-robin", "random", "least-in-flight", "power-of-two", "aged-estimate",
+};
+
 /** How targets are chosen. */
 struct RoutingPolicy
 {
-    /** Name of a row of routingStrategies(). */
+    /** One of routingStrategyNames. */
     std::string strategy = "aged-estimate";
     /** Targets compared for one choice. */
     unsigned sampleSize = 3;
--- a/Source/Version/Yaml/PresetReader.cpp
+++ b/Source/Version/Yaml/PresetReader.cpp
@@ -45,7 +45,7 @@
 void readRouting(YamlSection &section, ServicePolicy &service)
 {
     auto &policy = service.routing;
-    section.text("strategy", policy.strategy);
+    section.choice("strategy", policy.strategy, routingStrategyNames);
     section.wholeNumber("sample_size", policy.sampleSize, {1U, 64U});
     section.duration("zone_margin", policy.zoneMargin, {0ms, 1s});
     section.duration("report_half_life", policy.reportHalfLife, {1ms, 10s});
@@ -133,9 +133,14 @@
     for (auto &it : section.sections("idempotency", Presence::Optional))
         service.idempotencyRules.push_back(readIdempotencyRule(it));
     std::set<TargetId> names;
+    std::set<Endpoint> endpoints;
     for (auto &it : section.sections("targets", Presence::Required)) {
         service.targets.push_back(readTarget(it));
-        checkUnique(names, service.targets.back().id, "id", it);
+        const auto &target = service.targets.back();
+        checkUnique(names, target.id, "id", it);
+        // Load is recorded by address, so that two targets at one address would be one.
+        if (target.endpoint.port != 0 && !endpoints.insert(target.endpoint).second)
+            it.addFault(VersionError::DuplicateName, "endpoint", target.endpoint.toString());
     }
     if (service.targets.empty())
         section.addFault(VersionError::MissingKey, "targets", "at least one target");
--- a/Source/Version/Yaml/YamlSection.cpp
+++ b/Source/Version/Yaml/YamlSection.cpp
@@ -79,6 +79,18 @@
         value = std::move(*found);
 }
 
+void YamlSection::choice(std::string_view key, std::string &value,
+                         std::span<const std::string_view> choices)
+{
+    auto found = scalar(key, Presence::Optional);
+    if (!found)
+        return;
+    if (std::find(choices.begin(), choices.end(), *found) == choices.end())
+        addFault(VersionError::UnknownChoice, key, *found);
+    else
+        value = std::move(*found);
+}
+
 void YamlSection::flag(std::string_view key, bool &value)
 {
     const auto found = scalar(key, Presence::Optional);
--- a/Source/Version/Yaml/YamlSection.h
+++ b/Source/Version/Yaml/YamlSection.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,6 +59,9 @@
     YamlSection(const YAML::Node &node, YamlFaults &faults, std::string name);
 
     void text(std::string_view key, std::string &value, Presence presence = Presence::Optional);
+    /** Reads a text that must be one of the choices. */
+    void choice(std::string_view key, std::string &value,
+                std::span<const std::string_view> choices);
     void flag(std::string_view key, bool &value);
     void duration(std::string_view key, Duration &value, Range<Duration> range);
     void number(std::string_view key, double &value, Range<double> range);
@@ -83,7 +87,7 @@
     std::optional<YamlSection> section(std::string_view key);
     /** @return the mappings of the list under the key. */
     std::vector<YamlSection> sections(std::string_view key, Presence presence);
-    /** @return the texts of the list under the key, with their lines. */
+    /** @return the items of the list under the key. */
     std::vector<YAML::Node> items(std::string_view key);
 
     /** Reports keys that are not known or stand twice. */
--- /dev/null
+++ b/Tests/Process/SettingsReaderTest.cpp
@@ -0,0 +1,46 @@
+#include "Process/Yaml/ProcessYaml.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Process");
+
+struct SettingsReaderFixture
+{
+    static std::string sample()
+    {
+        return readTextFile(SOURCE_FOLDER "/Samples/bengal/vm-01.yaml").value();
+    }
+
+    YamlFaults faults{"vm.yaml"};
+};
+
+TEST_CASE_FIXTURE(SettingsReaderFixture, "readSettings, with the sample, gives every value")
+{
+    const auto settings = readSettings(sample(), faults);
+    REQUIRE(settings);
+    CHECK(settings->vm == VmId("bengal-01"));
+    CHECK(settings->zone == ZoneName("kolkata-dc"));
+    CHECK(settings->seedPeers.size() == 2);
+    CHECK(settings->trafficThreads == 64);
+    CHECK(settings->lameduck == 5s);
+}
+
+TEST_CASE_FIXTURE(SettingsReaderFixture, "readSettings, with several faults, reports each")
+{
+    const auto text = sample() + "colour: red\nvm: twice\n";
+    CHECK_FALSE(readSettings(text, faults));
+    REQUIRE(faults.list().size() == 2);
+    CHECK(faults.list()[0].code == VersionError::UnknownKey);
+    CHECK(faults.list()[1].code == VersionError::DuplicateName);
+}
+
+TEST_CASE_FIXTURE(SettingsReaderFixture, "readSettings, of the Cairo sample, is valid")
+{
+    const auto text = readTextFile(SOURCE_FOLDER "/Samples/cairo/vm-01.yaml").value();
+    CHECK(readSettings(text, faults));
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/Tests/Version/PresetReaderTest.cpp
@@ -0,0 +1,163 @@
+#include "Version/Yaml/VersionYaml.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <filesystem>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Version");
+
+struct PresetReaderFixture
+{
+    static constexpr std::string_view valid = "name: ordinary\n"
+                                              "services:\n"
+                                              "  - name: botolchin\n"
+                                              "    deadline: { default: 500ms, max: 2s }\n"
+                                              "    targets:\n"
+                                              "      - id: botolchin-01\n"
+                                              "        endpoint: \"127.0.0.1:8001\"\n"
+                                              "        zone: kolkata-dc\n"
+                                              "        slots: 6\n";
+
+    /** @return the valid preset with one piece of text replaced. */
+    static std::string validWith(std::string_view from, std::string_view to)
+    {
+        std::string text(valid);
+        return text.replace(text.find(from), from.size(), to);
+    }
+
+    std::optional<Preset> read(std::string_view text) { return readPreset(text, faults); }
+
+    /** Checks that the text has exactly one fault, of this type and in this line. */
+    void checkFault(const std::string &text, VersionError code, std::size_t line)
+    {
+        CAPTURE(text);
+        YamlFaults found("file.yaml");
+        CHECK_FALSE(readPreset(text, found));
+        REQUIRE(found.list().size() == 1);
+        CHECK(found.list()[0].code == code);
+        CHECK(found.list()[0].position->line == line);
+        CHECK(found.list()[0].position->file == "file.yaml");
+    }
+
+    YamlFaults faults{"file.yaml"};
+};
+
+TEST_CASE_FIXTURE(PresetReaderFixture, "readPreset, with a valid text, gives every value")
+{
+    const auto preset = read(valid);
+    REQUIRE(preset);
+    const auto &service = preset->services.at(0);
+    CHECK(preset->name == PresetName("ordinary"));
+    CHECK(service.deadline.standard == 500ms);
+    CHECK(service.deadline.maximum == 2s);
+    CHECK(service.targets.at(0).endpoint == Endpoint{"127.0.0.1", 8001});
+    CHECK(service.targets.at(0).slots == 6);
+}
+
+// Guards against a misspelt key that leaves a default in force without a word.
+TEST_CASE_FIXTURE(PresetReaderFixture, "readPreset, with an unknown key, names its line")
+{
+    checkFault(validWith("        slots: 6", "        slot: 6"), VersionError::UnknownKey, 9);
+    checkFault(validWith("max: 2s", "maximum: 2s"), VersionError::UnknownKey, 4);
+}
+
+TEST_CASE_FIXTURE(PresetReaderFixture, "readPreset, with a duration without unit, names its line")
+{
+    checkFault(validWith("500ms", "500"), VersionError::WrongUnit, 4);
+}
+
+TEST_CASE_FIXTURE(PresetReaderFixture, "readPreset, with a value out of range, names its line")
+{
+    checkFault(validWith("slots: 6", "slots: 0"), VersionError::OutOfRange, 9);
+    checkFault(validWith("max: 2s", "max: 100ms"), VersionError::OutOfRange, 4);
+}
+
+TEST_CASE_FIXTURE(PresetReaderFixture, "readPreset, with a wrong type, names its line")
+{
+    checkFault(validWith("slots: 6", "slots: six"), VersionError::WrongType, 9);
+    checkFault(validWith("\"127.0.0.1:8001\"", "localhost:1"), VersionError::WrongType, 7);
+    checkFault(validWith("{ default: 500ms, max: 2s }", "[1]"), VersionError::WrongType, 4);
+}
+
+TEST_CASE_FIXTURE(PresetReaderFixture, "readPreset, with an unknown strategy, names its line")
+{
+    checkFault(validWith("deadline: { default: 500ms, max: 2s }", "routing: { strategy: best }"),
+               VersionError::UnknownChoice, 4);
+}
+
+TEST_CASE_FIXTURE(PresetReaderFixture, "readPreset, without a required key, names the mapping")
+{
+    checkFault(validWith("        zone: kolkata-dc\n", ""), VersionError::MissingKey, 6);
+    checkFault(validWith("name: ordinary\n", ""), VersionError::MissingKey, 1);
+}
+
+// Guards against two services or targets of one name, of which only one would be used.
+TEST_CASE_FIXTURE(PresetReaderFixture, "readPreset, with a name twice, names the second")
+{
+    const std::string target = "      - { id: botolchin-01, endpoint: \"127.0.0.1:8002\","
+                               " zone: durgapur-dc }\n";
+    checkFault(std::string(valid) + target, VersionError::DuplicateName, 10);
+    const std::string service = "  - { name: botolchin, targets: [ { id: a, endpoint: "
+                                "\"127.0.0.1:8003\", zone: z } ] }\n";
+    checkFault(std::string(valid) + service, VersionError::DuplicateName, 10);
+    checkFault(std::string(valid) + "name: peak\n", VersionError::DuplicateName, 10);
+}
+
+// Guards against two targets that share the load record of one address.
+TEST_CASE_FIXTURE(PresetReaderFixture, "readPreset, with an address twice in a service, objects")
+{
+    const std::string target = "      - { id: botolchin-02, endpoint: \"127.0.0.1:8001\","
+                               " zone: durgapur-dc }\n";
+    checkFault(std::string(valid) + target, VersionError::DuplicateName, 10);
+}
+
+TEST_CASE_FIXTURE(PresetReaderFixture, "readPreset, with text that is not YAML, names the line")
+{
+    checkFault("name: [", VersionError::InvalidYaml, 1);
+    CHECK_FALSE(read(""));
+    CHECK_FALSE(read("services: 3"));
+}
+
+// A preset with anchors that expand without bound must be refused and not fill the memory.
+TEST_CASE_FIXTURE(PresetReaderFixture, "readPreset, with a recursive alias, is refused")
+{
+    CHECK_FALSE(read("name: &a [ *a ]\n"));
+}
+
+TEST_CASE_FIXTURE(PresetReaderFixture, "samples, all presets, are valid")
+{
+    std::size_t n = 0;
+    for (const auto &it : std::filesystem::recursive_directory_iterator(SOURCE_FOLDER "/Samples")) {
+        const auto path = it.path().string();
+        if (it.path().extension() != ".yaml" || path.find("vm-") != std::string::npos)
+            continue;
+        CAPTURE(path);
+        YamlFaults found(path);
+        CHECK(readPreset(readTextFile(path).value(), found));
+        ++n;
+    }
+    CHECK(n == 6);
+}
+
+// Guards against a crash or an endless loop on any text that an operator may store.
+TEST_CASE_FIXTURE(PresetReaderFixture, "readPreset, with mutated text, gives a preset or a fault")
+{
+    const bool holds = rc::check([] {
+        std::string text(valid);
+        const auto changes = *rc::gen::inRange(1, 8);
+        for (int i = 0; i < changes; ++i) {
+            const auto position = *rc::gen::inRange<std::size_t>(0, text.size());
+            text[position] = *rc::gen::elementOf(std::string(" :-{}[]&*#|>\"'\n\tax09\x80"));
+        }
+        YamlFaults found("file.yaml");
+        const auto preset = readPreset(text, found);
+        RC_ASSERT(preset.has_value() == found.list().empty());
+    });
+    CHECK(holds);
+}
+
+TEST_SUITE_END();
