--- a/Source/Main/CommandLine.cpp
+++ b/Source/Main/CommandLine.cpp
@@ -1,10 +1,10 @@
 #include "Main/CommandLine.h"
 
 #include "Main/AdminClient.h"
+#include "Main/Arguments.h"
 #include "Main/VmProcess.h"
 #include "Process/Yaml/ProcessYaml.h"
 
-#include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
 #include <csignal>
@@ -15,46 +15,6 @@
 
 namespace {
 
-/** Words of a subcommand, parsed. */
-class Arguments
-{
-public:
-    /** @return the parsed words, or nothing after an error or a help text was printed. */
-    static std::optional<Arguments> parse(cxxopts::Options options,
-                                          std::span<const std::string> words)
-    {
-        options.add_options()("h,help", "print this text");
-        std::vector<const char *> argv{"sapphireladder"};
-        for (const auto &it : words)
-            argv.push_back(it.c_str());
-        try {
-            const auto result = options.parse(static_cast<int>(argv.size()), argv.data());
-            if (result.count("help") == 0)
-                return Arguments(result);
-            std::cout << options.help();
-        } catch (const cxxopts::exceptions::exception &ex) {
-            std::cerr << ex.what() << '\n';
-        }
-        return std::nullopt;
-    }
-
-    std::string text(const std::string &name) const
-    {
-        return m_result.count(name) > 0 ? m_result[name].as<std::string>() : std::string();
-    }
-    std::uint64_t number(const std::string &name) const
-    {
-        return m_result[name].as<std::uint64_t>();
-    }
-
-private:
-    explicit Arguments(const cxxopts::ParseResult &result)
-        : m_result(result)
-    {}
-
-    cxxopts::ParseResult m_result;
-};
-
 std::optional<Settings> loadSettings(const std::string &file)
 {
     YamlFaults faults(file);
@@ -191,8 +151,8 @@
     options.add_options()("settings", "settings file", cxxopts::value<std::string>());
     const auto arguments = Arguments::parse(std::move(options), words);
     if (!arguments)
-        return ExitCode::Usage;
-    const auto settings = loadSettings(arguments->text("settings"));
+        return arguments.error();
+    const auto settings = loadSettings(arguments.value().text("settings"));
     if (!settings)
         return ExitCode::Usage;
     EventLog::initialize("sapphireladder");
@@ -215,12 +175,18 @@
     options.add_options()("preset", "preset file", cxxopts::value<std::string>());
     const auto arguments = Arguments::parse(std::move(options), words);
     if (!arguments)
+        return arguments.error();
+    const auto settingsFile = arguments.value().text("settings");
+    const auto presetFile = arguments.value().text("preset");
+    if (settingsFile.empty() && presetFile.empty()) {
+        std::cerr << "nothing to check: name --settings or --preset\n";
         return ExitCode::Usage;
+    }
     bool valid = true;
-    if (const auto file = arguments->text("settings"); !file.empty())
-        valid = loadSettings(file).has_value() && valid;
-    if (const auto file = arguments->text("preset"); !file.empty())
-        valid = checkPresetFile(file) && valid;
+    if (!settingsFile.empty())
+        valid = loadSettings(settingsFile).has_value() && valid;
+    if (!presetFile.empty())
+        valid = checkPresetFile(presetFile) && valid;
     if (valid)
         std::cout << "ok\n";
     return valid ? ExitCode::Success : ExitCode::Usage;
@@ -230,8 +196,8 @@
 {
     const auto arguments = Arguments::parse(adminOptions("status", "Prints a VM's status."), words);
     if (!arguments)
-        return ExitCode::Usage;
-    return printAdminAnswer(*arguments, {"GET", "/status", {}});
+        return arguments.error();
+    return printAdminAnswer(arguments.value(), {"GET", "/status", {}});
 }
 
 ExitCode CommandLine::preset(Words words)
@@ -244,8 +210,8 @@
     const auto arguments = Arguments::parse(
             adminOptions("preset list", "Prints the stored presets."), words);
     if (!arguments)
-        return ExitCode::Usage;
-    return printAdminAnswer(*arguments, {"GET", "/presets", {}});
+        return arguments.error();
+    return printAdminAnswer(arguments.value(), {"GET", "/presets", {}});
 }
 
 ExitCode CommandLine::presetShow(Words words)
@@ -255,8 +221,9 @@
     options.parse_positional("name");
     const auto arguments = Arguments::parse(std::move(options), words);
     if (!arguments)
-        return ExitCode::Usage;
-    return printAdminAnswer(*arguments, {"GET", "/presets/" + arguments->text("name"), {}});
+        return arguments.error();
+    return printAdminAnswer(arguments.value(),
+                            {"GET", "/presets/" + arguments.value().text("name"), {}});
 }
 
 ExitCode CommandLine::presetPut(Words words)
@@ -266,8 +233,8 @@
     options.parse_positional("file");
     const auto arguments = Arguments::parse(std::move(options), words);
     if (!arguments)
-        return ExitCode::Usage;
-    const auto file = arguments->text("file");
+        return arguments.error();
+    const auto file = arguments.value().text("file");
     const auto text = readTextFile(file);
     YamlFaults faults(file);
     const auto preset = text ? readPreset(text.value(), faults) : std::nullopt;
@@ -275,7 +242,8 @@
         checkPresetFile(file);
         return ExitCode::Usage;
     }
-    return printAdminAnswer(*arguments, {"PUT", "/presets/" + preset->name.string(), text.value()});
+    return printAdminAnswer(arguments.value(),
+                            {"PUT", "/presets/" + preset->name.string(), text.value()});
 }
 
 ExitCode CommandLine::presetSwitch(Words words)
@@ -290,15 +258,15 @@
     options.parse_positional("name");
     const auto arguments = Arguments::parse(std::move(options), words);
     if (!arguments)
-        return ExitCode::Usage;
-    auto operation = arguments->text("operation");
+        return arguments.error();
+    auto operation = arguments.value().text("operation");
     if (operation.empty())
         operation = RandomSource::fromSystem().hexDigits();
-    const nlohmann::json request = {{"preset", arguments->text("name")},
+    const nlohmann::json request = {{"preset", arguments.value().text("name")},
                                     {"operation", operation},
-                                    {"author", arguments->text("author")},
-                                    {"expected_version", arguments->number("expect")}};
-    const auto endpoint = Endpoint::parse(arguments->text("admin"));
+                                    {"author", arguments.value().text("author")},
+                                    {"expected_version", arguments.value().number("expect")}};
+    const auto endpoint = Endpoint::parse(arguments.value().text("admin"));
     if (!endpoint) {
         std::cerr << endpoint.error().toString() << '\n';
         return ExitCode::Usage;
@@ -322,8 +290,8 @@
     const auto arguments = Arguments::parse(
             adminOptions("preset current", "Prints which preset is in force."), words);
     if (!arguments)
-        return ExitCode::Usage;
-    return printAdminAnswer(*arguments, {"GET", "/preset/in-force", {}});
+        return arguments.error();
+    return printAdminAnswer(arguments.value(), {"GET", "/preset/in-force", {}});
 }
 
 } // namespace Sapphireladder
