Main: Start the admin endpoint after what its answers use

Cause: the admin endpoint listened before the caller listener existed. A status request in between followed a null pointer and ended the process with SIGSEGV. The scenarios ask for the status while VMs start, so a run now and then had a dead VM, and `preset put` to it ended with exit code 3.

Change: the admin endpoint starts last.

--- a/Source/Main/VmProcess.cpp
+++ b/Source/Main/VmProcess.cpp
@@ -49,8 +49,6 @@
 
 Result<> VmProcess::start()
 {
-    TRY_ASSIGN(admin, AdminServer::create(m_settings.adminEndpoint, *this));
-    m_admin = std::move(admin);
     ListenerOptions options;
     options.endpoint = m_settings.callerEndpoint;
     options.trafficThreads = m_settings.trafficThreads;
@@ -59,6 +57,9 @@
     TRY_ASSIGN(listener, CallerListener::create(options, *this));
     m_listener = std::move(listener);
     m_control.start(m_state, tickInterval);
+    // Last, since its answers use everything above.
+    TRY_ASSIGN(admin, AdminServer::create(m_settings.adminEndpoint, *this));
+    m_admin = std::move(admin);
     m_events.record(EventId::ProcessStarted, {{"vm", m_settings.vm.string()},
                                               {"zone", m_settings.zone.string()},
                                               {"callers", m_settings.callerEndpoint.toString()}});
--- a/Tests/Scenarios/Fleet.h
+++ b/Tests/Scenarios/Fleet.h
@@ -21,9 +21,9 @@
     unsigned slots = 6;
     std::string serviceTime = "5ms";
     /** Lines added to each VM's settings. */
-    std::string extraSettings;
+    std::string extraSettings = {};
     /** Lines added to the service in each preset, indented by four. */
-    std::string extraPolicy;
+    std::string extraPolicy = {};
 };
 
 /** One request of a test's caller. */
