Request: Write the missing routing strategies

The name aged-estimate, which presets use by default, selected at random, and least-in-flight and power-of-two did not exist.

Each strategy is now one class behind routingStrategies(). The aged estimate counts the request itself in the expected wait, so that an idle straggler does not tie with an idle target of ordinary speed, and gives a target of another zone the zone margin as a handicap. Ramp weights act before the strategies: thinRamping leaves a ramping candidate out with the probability 1 - weight, and rampedSlots bounds its slots.

--- /dev/null
+++ b/Source/Request/LeastInFlightSelector.cpp
@@ -0,0 +1,28 @@
+#include "Request/Request.h"
+
+namespace Sapphireladder {
+
+namespace {
+
+double usedShare(const TargetCandidate &candidate)
+{
+    return static_cast<double>(candidate.ownInFlight) / candidate.slots;
+}
+
+} // namespace
+
+std::size_t LeastInFlightSelector::select(std::span<const TargetCandidate> candidates,
+                                          const RoutingPolicy &, RandomSource &random)
+{
+    // A random start breaks ties. With a fixed one, idle VMs would all choose the first target.
+    const auto start = random.below(candidates.size());
+    auto best = start;
+    for (std::size_t i = 1; i < candidates.size(); ++i) {
+        const auto position = (start + i) % candidates.size();
+        if (usedShare(candidates[position]) < usedShare(candidates[best]))
+            best = position;
+    }
+    return best;
+}
+
+} // namespace Sapphireladder
--- a/Source/Request/TargetSelector.cpp
+++ b/Source/Request/TargetSelector.cpp
@@ -1,35 +1,11 @@
 #include "Request/Request.h"
 
 #include <algorithm>
-#include <atomic>
 
 namespace Sapphireladder {
 
 namespace {
 
-class RoundRobinSelector final : public TargetSelector
-{
-public:
-    std::size_t select(std::span<const TargetCandidate> candidates, const RoutingPolicy &,
-                       RandomSource &) override
-    {
-        return m_next.fetch_add(1, std::memory_order_relaxed) % candidates.size();
-    }
-
-private:
-    std::atomic<std::size_t> m_next{0};
-};
-
-class RandomSelector final : public TargetSelector
-{
-public:
-    std::size_t select(std::span<const TargetCandidate> candidates, const RoutingPolicy &,
-                       RandomSource &random) override
-    {
-        return random.below(candidates.size());
-    }
-};
-
 template<typename Selector>
 std::unique_ptr<TargetSelector> createSelector()
 {
@@ -39,8 +15,9 @@
 constexpr RoutingStrategy strategies[] = {
         {"round-robin", &createSelector<RoundRobinSelector>},
         {"random", &createSelector<RandomSelector>},
-        // FIXME: The estimate that ages is not written yet, so its name selects at random.
-        {"aged-estimate", &createSelector<RandomSelector>},
+        {"least-in-flight", &createSelector<LeastInFlightSelector>},
+        {"power-of-two", &createSelector<PowerOfTwoSelector>},
+        {"aged-estimate", &createSelector<AgedEstimateSelector>},
 };
 
 } // namespace
--- a/Source/Request/TargetSelector.h
+++ b/Source/Request/TargetSelector.h
@@ -15,6 +15,7 @@
 {
     /** Index of the target in its service's view. */
     std::size_t index = 0;
+    /** Slots that the target may use at its ramp weight, at least 1. */
     unsigned slots = 1;
     /** Requests of this VM that the target has not answered. */
     unsigned ownInFlight = 0;
--- /dev/null
+++ b/Tests/Request/TargetSelectorTest.cpp
@@ -0,0 +1,137 @@
+#include "Request/Request.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Request");
+
+struct TargetSelectorFixture
+{
+    TargetCandidate &add(unsigned slots = 4)
+    {
+        auto &candidate = candidates.emplace_back();
+        candidate.index = candidates.size() - 1;
+        candidate.slots = slots;
+        candidate.serviceTime = 10ms;
+        return candidate;
+    }
+
+    /** @return how often each candidate was chosen in 1,000 selections. */
+    std::vector<int> choices(std::string_view strategy)
+    {
+        const auto selector = findRoutingStrategy(strategy)->create();
+        std::vector<int> counts(candidates.size());
+        for (int i = 0; i < 1000; ++i)
+            ++counts.at(selector->select(candidates, policy, random));
+        return counts;
+    }
+
+    std::vector<TargetCandidate> candidates;
+    RoutingPolicy policy;
+    RandomSource random{7};
+};
+
+// Guards against a preset that names a documented strategy and is refused.
+TEST_CASE_FIXTURE(TargetSelectorFixture, "routingStrategies, each documented name, has a selector")
+{
+    add();
+    for (const auto *name :
+         {"round-robin", "random", "least-in-flight", "power-of-two", "aged-estimate"}) {
+        REQUIRE(findRoutingStrategy(name));
+        CHECK(choices(name) == std::vector<int>{1000});
+    }
+}
+
+// Guards against a comparison of bare counts, which overloads targets with few slots.
+TEST_CASE_FIXTURE(TargetSelectorFixture, "least-in-flight, unequal slots, compares shares")
+{
+    add(2).ownInFlight = 1;
+    add(6).ownInFlight = 2;
+    CHECK(choices("least-in-flight") == std::vector<int>{0, 1000});
+}
+
+// Guards against idle VMs that all send to the first target.
+TEST_CASE_FIXTURE(TargetSelectorFixture, "least-in-flight, equal loads, spreads")
+{
+    add();
+    add();
+    CHECK(choices("least-in-flight")[1] > 300);
+}
+
+TEST_CASE_FIXTURE(TargetSelectorFixture, "power-of-two, one loaded target of three, never takes it")
+{
+    add();
+    add().reportedInFlight = 4;
+    candidates[1].reportAge = 1ms;
+    add();
+    const auto counts = choices("power-of-two");
+    CHECK(counts[1] == 0);
+    CHECK(counts[0] > 300);
+}
+
+// Guards against trust in reports that are older than the load's shifts.
+TEST_CASE_FIXTURE(TargetSelectorFixture, "aged-estimate, report that ages, moves to the mean")
+{
+    auto &loaded = add();
+    loaded.reportedInFlight = 4;
+    loaded.reportAge = 0ms;
+    add().reportAge = 0ms;
+    const auto means = meansOf(candidates);
+    CHECK(estimateLoad(candidates[0], means, 50ms) == doctest::Approx(4.0));
+    candidates[0].reportAge = 50ms;
+    CHECK(estimateLoad(candidates[0], means, 50ms) == doctest::Approx(3.0));
+    candidates[0].reportAge = 1h;
+    CHECK(estimateLoad(candidates[0], means, 50ms) == doctest::Approx(2.0));
+}
+
+// Guards against a herd of own requests towards the target with the best report.
+TEST_CASE_FIXTURE(TargetSelectorFixture, "aged-estimate, own sends since the report, are added")
+{
+    auto &candidate = add();
+    candidate.reportAge = 0ms;
+    candidate.reportedInFlight = 1;
+    candidate.ownSinceReport = 3;
+    CHECK(estimateLoad(candidate, meansOf(candidates), 50ms) == doctest::Approx(4.0));
+    candidate.ownSinceReport = -3;
+    candidate.ownInFlight = 1;
+    CHECK(estimateLoad(candidate, meansOf(candidates), 50ms) == doctest::Approx(1.0));
+}
+
+TEST_CASE_FIXTURE(TargetSelectorFixture, "aged-estimate, idle straggler, is avoided")
+{
+    add().serviceTime = 500ms;
+    add();
+    CHECK(choices("aged-estimate") == std::vector<int>{0, 1000});
+}
+
+// Guards against a preference for the own zone that overloads it.
+TEST_CASE_FIXTURE(TargetSelectorFixture, "aged-estimate, own zone, is preferred within the margin")
+{
+    add().sameZone = false;
+    add();
+    policy.zoneMargin = 3ms;
+    CHECK(choices("aged-estimate") == std::vector<int>{0, 1000});
+    candidates[1].ownInFlight = 2;
+    CHECK(choices("aged-estimate") == std::vector<int>{1000, 0});
+}
+
+// Guards against a returning target that is idle and so attracts every request.
+TEST_CASE_FIXTURE(TargetSelectorFixture, "thinRamping, weight of a tenth, keeps a tenth")
+{
+    add().rampWeight = 0.1;
+    add();
+    int kept = 0;
+    for (int i = 0; i < 1000; ++i) {
+        auto thinned = candidates;
+        thinRamping(thinned, random);
+        kept += thinned.size() == 2;
+    }
+    CHECK(kept > 50);
+    CHECK(kept < 200);
+    CHECK(rampedSlots(6, 0.1) == 1);
+    CHECK(rampedSlots(6, 0.5) == 3);
+}
+
+TEST_SUITE_END();
