Testbed: Split a path before decoding its segments

A key with an encoded slash, such as claims/<service>/<key>, was split into more segments and answered 404. The path is now split first. The claim store test with keys such as "a/b" and ".." failed before and passes now.

--- a/Tests/Testbed/Platform.cpp
+++ b/Tests/Testbed/Platform.cpp
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <sstream>
+
 namespace Sapphireladder::Testbed {
 
 namespace {
@@ -16,8 +18,13 @@
 /** @return segments of the path, decoded. */
 std::vector<std::string> pathSegments(const std::string &uri)
 {
+    // Split before decoding, since a key may hold an encoded slash.
     std::vector<std::string> segments;
-    Poco::URI(uri).getPathSegments(segments);
+    std::istringstream path(uri.substr(0, uri.find('?')));
+    for (std::string it; std::getline(path, it, '/');) {
+        if (!it.empty())
+            Poco::URI::decode(it, segments.emplace_back());
+    }
     return segments;
 }
 
