Request: Claim a key before a non-idempotent request is sent

Two VMs that get the same key must not both run it, and "not run" must not be told for a request that ran or still can.

ClaimMachine decides without I/O, RequestClaim drives it over the ClaimStore port, and RequestExecutor asks it just before each attempt. The gate can take back a slot that no attempt used. An empty key, or one over 256 bytes, is a bad request.

An insert whose answer was lost and whose read-back shows no row refuses the request as not run. The insert may still land; then repeats of the key are told "already accepted". A row that exists but cannot be read is told as "already accepted" too, since the key may have run.

--- a/Source/Process/ServiceGate.cpp
+++ b/Source/Process/ServiceGate.cpp
@@ -49,6 +49,18 @@
 {
     const auto view = std::static_pointer_cast<const ServiceView>(lease.owner);
     view->targets[lease.index].load->end(result, m_clock.now());
+    wakeWaiter();
+}
+
+void ServiceGate::cancel(const TargetLease &lease)
+{
+    const auto view = std::static_pointer_cast<const ServiceView>(lease.owner);
+    view->targets[lease.index].load->cancel();
+    wakeWaiter();
+}
+
+void ServiceGate::wakeWaiter()
+{
     {
         // Taking the lock orders the change before the check of a request that starts to wait.
         const std::lock_guard lock(m_mutex);
--- a/Source/Process/ServiceGate.h
+++ b/Source/Process/ServiceGate.h
@@ -26,8 +26,10 @@
     std::variant<TargetLease, RefusalReason> acquire(const RequestInfo &info,
                                                      std::span<const TargetId> tried) override;
     void release(const TargetLease &lease, const AttemptResult &result) override;
+    void cancel(const TargetLease &lease) override;
 
 private:
+    void wakeWaiter();
     std::optional<TargetLease> tryAcquire(std::span<const TargetId> tried);
     std::vector<TargetCandidate> candidates(std::span<const TargetId> tried) const;
 
--- a/Source/Process/TargetLoad.cpp
+++ b/Source/Process/TargetLoad.cpp
@@ -26,6 +26,12 @@
     }
 }
 
+void TargetLoad::cancel()
+{
+    m_ownInFlight.fetch_sub(1, std::memory_order_relaxed);
+    m_ownSinceReport.fetch_sub(1, std::memory_order_relaxed);
+}
+
 void TargetLoad::describe(TargetCandidate &candidate, TimePoint now) const
 {
     candidate.ownInFlight = ownInFlight();
--- a/Source/Process/TargetLoad.h
+++ b/Source/Process/TargetLoad.h
@@ -19,6 +19,9 @@
      */
     void end(const AttemptResult &result, TimePoint now);
 
+    /** Takes back a begin() whose request was not sent. */
+    void cancel();
+
     unsigned ownInFlight() const { return m_ownInFlight.load(std::memory_order_relaxed); }
     /** Fills in the parts of a candidate that come from load. */
     void describe(TargetCandidate &candidate, TimePoint now) const;
--- /dev/null
+++ b/Source/Request/ClaimMachine.cpp
@@ -0,0 +1,168 @@
+#include "Request/Request.h"
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace Sapphireladder {
+
+namespace {
+
+constexpr std::string_view contentTypeName = "Content-Type";
+
+/** Compares ASCII names as HTTP does, without regard to case. */
+bool isSameName(std::string_view a, std::string_view b)
+{
+    const auto lower = [](char c) {
+        return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+    };
+    return std::equal(a.begin(), a.end(), b.begin(), b.end(),
+                      [&](char x, char y) { return lower(x) == lower(y); });
+}
+
+} // namespace
+
+ClaimMachine::ClaimMachine(Claim claim, TimePoint start)
+    : m_claim(std::move(claim))
+    , m_start(start)
+{}
+
+ClaimAction ClaimMachine::action() const
+{
+    switch (m_state) {
+    case ClaimState::Inserting:
+        return ClaimAction::Insert;
+    case ClaimState::ReadingBack:
+    case ClaimState::ReadingExisting:
+        return ClaimAction::Read;
+    default:
+        return ClaimAction::None;
+    }
+}
+
+void ClaimMachine::insertEnded(const ClaimWrite &write)
+{
+    assert(m_state == ClaimState::Inserting);
+    using Handler = void (ClaimMachine::*)(const ClaimWrite &);
+    static constexpr std::array<Handler, static_cast<std::size_t>(ClaimWriteStatus::Count)>
+            handlers = {
+                    &ClaimMachine::hold,
+                    &ClaimMachine::readExisting,
+                    &ClaimMachine::refuseAfterWrite,
+                    &ClaimMachine::readBack,
+            };
+    (this->*handlers.at(static_cast<std::size_t>(write.status)))(write);
+}
+
+void ClaimMachine::readEnded(const ClaimRead &read)
+{
+    assert(action() == ClaimAction::Read);
+    if (const auto *stored = std::get_if<StoredClaim>(&read)) {
+        if (stored->claim.id == m_claim.id) {
+            m_tag = stored->tag;
+            m_state = ClaimState::Held;
+            return;
+        }
+        settle(verdictOnExisting(stored->claim, m_claim.fingerprint));
+        return;
+    }
+    using Handler = void (ClaimMachine::*)();
+    using Handlers = std::array<Handler, static_cast<std::size_t>(ClaimAbsence::Count)>;
+    static constexpr Handlers afterLostInsert = {
+            &ClaimMachine::refuse,
+            &ClaimMachine::settleAsAccepted,
+            &ClaimMachine::refuse,
+    };
+    // The insert saw a row. It is gone only if its holder released it, knowing that nothing ran. If
+    // it cannot be read, the key may have run.
+    static constexpr Handlers afterExistingRow = {
+            &ClaimMachine::refuse,
+            &ClaimMachine::settleAsAccepted,
+            &ClaimMachine::settleAsAccepted,
+    };
+    const auto &handlers = m_state == ClaimState::ReadingBack ? afterLostInsert : afterExistingRow;
+    (this->*handlers.at(static_cast<std::size_t>(std::get<ClaimAbsence>(read))))();
+}
+
+bool ClaimMachine::beginAttempt(TimePoint now)
+{
+    assert(m_state == ClaimState::Held);
+    if (now - m_start > claimMaxAge)
+        return false;
+    m_state = ClaimState::Attempting;
+    return true;
+}
+
+void ClaimMachine::attemptEnded(const AttemptResult &result)
+{
+    assert(m_state == ClaimState::Attempting);
+    if (std::holds_alternative<Answered>(result.end))
+        m_state = ClaimState::Answered;
+    else if (std::holds_alternative<NotRun>(result.end))
+        m_state = ClaimState::Held;
+    else
+        m_state = ClaimState::MayHaveRun;
+}
+
+void ClaimMachine::hold(const ClaimWrite &write)
+{
+    m_tag = write.tag;
+    m_state = ClaimState::Held;
+}
+
+void ClaimMachine::readBack(const ClaimWrite &)
+{
+    m_state = ClaimState::ReadingBack;
+}
+
+void ClaimMachine::readExisting(const ClaimWrite &)
+{
+    m_state = ClaimState::ReadingExisting;
+}
+
+void ClaimMachine::refuseAfterWrite(const ClaimWrite &)
+{
+    refuse();
+}
+
+void ClaimMachine::refuse()
+{
+    settle(Refusal{RefusalReason::ClaimStoreUnavailable});
+}
+
+void ClaimMachine::settleAsAccepted()
+{
+    settle(Unknown{UnknownReason::AlreadyAccepted});
+}
+
+void ClaimMachine::settle(RequestOutcome verdict)
+{
+    m_verdict = std::move(verdict);
+    m_state = ClaimState::Settled;
+}
+
+RequestOutcome verdictOnExisting(const Claim &existing, const ContentDigest &fingerprint)
+{
+    if (existing.fingerprint != fingerprint)
+        return Refusal{RefusalReason::KeyReused};
+    if (!existing.answer || !existing.answer->body)
+        return Unknown{UnknownReason::AlreadyAccepted};
+    Answer answer{existing.answer->status, {}, *existing.answer->body};
+    if (!existing.answer->contentType.empty())
+        answer.headers.push_back({std::string(contentTypeName), existing.answer->contentType});
+    return answer;
+}
+
+RecordedAnswer recordOf(const Answer &answer)
+{
+    RecordedAnswer record{answer.status, {}, std::nullopt};
+    for (const auto &it : answer.headers) {
+        if (isSameName(it.name, contentTypeName))
+            record.contentType = it.value;
+    }
+    if (answer.body.size() <= recordedBodyLimit)
+        record.body = answer.body;
+    return record;
+}
+
+} // namespace Sapphireladder
--- a/Source/Request/Http/RequestMapper.cpp
+++ b/Source/Request/Http/RequestMapper.cpp
@@ -132,8 +132,12 @@
     info.idempotent = isIdempotent(message, *mapped.policy);
     info.id = RequestId(message.has(requestIdHeader) ? message.get(requestIdHeader)
                                                      : random.hexDigits());
-    if (message.has(idempotencyKeyHeader))
+    if (message.has(idempotencyKeyHeader)) {
         info.key = IdempotencyKey(message.get(idempotencyKeyHeader));
+        // An empty key would be shared by every caller that leaves it empty.
+        if (info.key->isEmpty() || info.key->view().size() > maxKeySize)
+            return RefusalReason::BadRequest;
+    }
     mapped.headers = endToEndHeaders(message);
     return mapped;
 }
--- a/Source/Request/Http/RequestMapper.h
+++ b/Source/Request/Http/RequestMapper.h
@@ -21,6 +21,9 @@
 /** Largest head of a caller's request in bytes. */
 constexpr std::size_t maxHeadSize = 16384;
 
+/** Largest idempotency key in bytes. A key is part of a row's name in the table service. */
+constexpr std::size_t maxKeySize = 256;
+
 /**
  * Reads the head of a caller's request.
  * @param message head of the request; the result's views point into it
--- a/Source/Request/Request.h
+++ b/Source/Request/Request.h
@@ -3,8 +3,11 @@
 /** @file Public header of what lives for one request: its description, attempts and decisions. */
 
 #include "Request/AttemptResult.h"
+#include "Request/Claim.h"
+#include "Request/ClaimMachine.h"
 #include "Request/HeaderField.h"
 #include "Request/Reasons.h"
+#include "Request/RequestClaim.h"
 #include "Request/RequestExecutor.h"
 #include "Request/RequestInfo.h"
 #include "Request/RequestPorts.h"
--- /dev/null
+++ b/Source/Request/RequestClaim.cpp
@@ -0,0 +1,80 @@
+#include "Request/Request.h"
+
+namespace Sapphireladder {
+
+namespace {
+
+ClaimKey keyOf(const RequestInfo &info)
+{
+    return {info.service.view(), info.key->view()};
+}
+
+} // namespace
+
+RequestClaim::RequestClaim(const ClaimPorts *ports, const RequestInfo &info, const Clock &clock)
+    : m_ports(ports)
+    , m_info(info)
+    , m_clock(clock)
+    , m_needed(!info.idempotent && info.key)
+{}
+
+std::optional<RequestOutcome> RequestClaim::beginAttempt()
+{
+    if (!m_needed)
+        return std::nullopt;
+    if (!m_ports)
+        return Refusal{RefusalReason::ClaimStoreUnavailable};
+    if (!m_machine)
+        acquire();
+    if (m_machine->state() == ClaimState::Settled)
+        return m_machine->verdict();
+    // The clock is read once for both checks, and nothing that may block comes after it but the
+    // attempt itself. A pause after the checks sends late, which is harmless: no other request ever
+    // gets this key.
+    const auto now = m_clock.now();
+    if (now >= m_info.deadline)
+        return Refusal{RefusalReason::DeadlineExpired};
+    if (!m_machine->beginAttempt(now))
+        return Refusal{RefusalReason::ClaimExpired};
+    return std::nullopt;
+}
+
+void RequestClaim::attemptEnded(const AttemptResult &result)
+{
+    if (m_machine)
+        m_machine->attemptEnded(result);
+}
+
+void RequestClaim::settle(const RequestOutcome &outcome)
+{
+    if (!m_machine)
+        return;
+    const auto key = keyOf(m_info);
+    if (m_machine->mayRelease()) {
+        m_ports->store.release(key, m_machine->tag());
+        return;
+    }
+    const auto *answer = std::get_if<Answer>(&outcome);
+    if (answer && m_machine->mayRecord()) {
+        auto claim = m_machine->claim();
+        claim.answer = recordOf(*answer);
+        m_ports->store.record(key, claim, m_machine->tag());
+    }
+}
+
+void RequestClaim::acquire()
+{
+    const auto start = m_clock.now();
+    m_machine.emplace(Claim{ClaimId(m_ports->random.hexDigits()), m_info.fingerprint, m_ports->vm,
+                            std::nullopt},
+                      start);
+    const auto key = keyOf(m_info);
+    while (m_machine->action() != ClaimAction::None) {
+        if (m_machine->action() == ClaimAction::Insert)
+            m_machine->insertEnded(m_ports->store.insert(key, m_machine->claim()));
+        else
+            m_machine->readEnded(m_ports->store.read(key));
+    }
+}
+
+} // namespace Sapphireladder
--- a/Source/Request/RequestExecutor.cpp
+++ b/Source/Request/RequestExecutor.cpp
@@ -28,14 +28,29 @@
     if (m_ports.clock.now() >= info.deadline)
         return Refusal{RefusalReason::DeadlineExpired};
     m_ports.tokens.recordFirstAttempt();
+    RequestClaim claim(m_ports.claims, info, m_ports.clock);
+    auto outcome = runAttempts(info, headers, body, claim);
+    claim.settle(outcome);
+    return outcome;
+}
+
+RequestOutcome RequestExecutor::runAttempts(const RequestInfo &info,
+                                            std::span<const HeaderField> headers,
+                                            std::string_view body, RequestClaim &claim)
+{
     std::optional<RequestOutcome> last;
     while (true) {
         const auto admission = m_ports.gate.acquire(info, m_tried);
         if (const auto *reason = std::get_if<RefusalReason>(&admission))
             return last ? std::move(*last) : Refusal{*reason};
         const auto &lease = std::get<TargetLease>(admission);
+        if (auto instead = claim.beginAttempt()) {
+            m_ports.gate.cancel(lease);
+            return std::move(*instead);
+        }
         auto result = attemptOnce(lease,
                                   {info, *lease.target, m_policy, headers, body, m_attempts});
+        claim.attemptEnded(result);
         const auto failure = failureOf(result);
         m_tried.push_back(lease.target->id);
         if (!failure || !mayRetry(info, *failure))
--- a/Source/Request/RequestExecutor.h
+++ b/Source/Request/RequestExecutor.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Request/RequestClaim.h"
 #include "Request/RequestPorts.h"
 #include "Request/RetryDecision.h"
 
@@ -17,6 +18,8 @@
     RetryTokens &tokens;
     RequestObserver &observer;
     const Clock &clock;
+    /** Null refuses every request that needs a claim. */
+    const ClaimPorts *claims = nullptr;
 };
 
 /** Takes one request from admission to its outcome. Lives for the request, on one thread. */
@@ -37,6 +40,8 @@
                        std::string_view body);
 
 private:
+    RequestOutcome runAttempts(const RequestInfo &info, std::span<const HeaderField> headers,
+                               std::string_view body, RequestClaim &claim);
     AttemptResult attemptOnce(const TargetLease &lease, const AttemptRequest &request);
     bool mayRetry(const RequestInfo &info, const FailedAttempt &failure);
 
--- a/Source/Request/RequestPorts.h
+++ b/Source/Request/RequestPorts.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Request/AttemptResult.h"
+#include "Request/Claim.h"
 #include "Request/RequestInfo.h"
 #include "Request/TargetLease.h"
 
@@ -44,6 +45,9 @@
      * @param result how the attempt ended
      */
     virtual void release(const TargetLease &lease, const AttemptResult &result) = 0;
+
+    /** Gives a slot back that no attempt used. @param lease a slot from acquire() */
+    virtual void cancel(const TargetLease &lease) = 0;
 };
 
 /** Sends one attempt to a target and waits for its end. */
@@ -65,6 +69,29 @@
     virtual bool takeRetry() = 0;
 };
 
+/** Keeps claims. Calls block; implementations are safe for use by several threads. */
+class ClaimStore
+{
+public:
+    virtual ~ClaimStore() = default;
+    /** Writes a claim on condition that its row does not exist. Must not repeat the write. */
+    virtual ClaimWrite insert(const ClaimKey &key, const Claim &claim) = 0;
+    virtual ClaimRead read(const ClaimKey &key) = 0;
+    /** Writes a claim with its answer on condition that the row has the tag. */
+    virtual ClaimWrite record(const ClaimKey &key, const Claim &claim, std::string_view tag) = 0;
+    /** Deletes a claim's row on condition that it has the tag. */
+    virtual ClaimWrite release(const ClaimKey &key, std::string_view tag) = 0;
+};
+
+/** What making a claim needs. All outlive the request. */
+struct ClaimPorts
+{
+    ClaimStore &store;
+    /** Source of claim ids, used by the request's thread only. */
+    RandomSource &random;
+    const VmId &vm;
+};
+
 /** Counts what happens to requests. */
 class RequestObserver
 {
--- /dev/null
+++ b/Tests/Request/RequestClaimTest.cpp
@@ -0,0 +1,316 @@
+#include "Request/Request.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Takes the ends of its calls from lists, and notes the calls. */
+class ScriptedClaimStore final : public ClaimStore
+{
+public:
+    explicit ScriptedClaimStore(ManualClock &clock)
+        : m_clock(clock)
+    {}
+
+    ClaimWrite insert(const ClaimKey &, const Claim &claim) override
+    {
+        calls.emplace_back("insert");
+        inserted = claim;
+        m_clock.advance(insertTime);
+        return insertEnd;
+    }
+    ClaimRead read(const ClaimKey &) override
+    {
+        calls.emplace_back("read");
+        if (readsOwnClaim)
+            return StoredClaim{inserted, "tag-own"};
+        return readEnd;
+    }
+    ClaimWrite record(const ClaimKey &, const Claim &claim, std::string_view tag) override
+    {
+        calls.push_back("record " + std::string(tag));
+        recorded = claim.answer;
+        return {ClaimWriteStatus::Written, "tag-2"};
+    }
+    ClaimWrite release(const ClaimKey &, std::string_view tag) override
+    {
+        calls.push_back("release " + std::string(tag));
+        return {ClaimWriteStatus::Written, {}};
+    }
+
+    ClaimWrite insertEnd{ClaimWriteStatus::Written, "tag-1"};
+    Duration insertTime{};
+    bool readsOwnClaim = false;
+    ClaimRead readEnd = ClaimAbsence::NoRow;
+    std::vector<std::string> calls;
+    Claim inserted;
+    std::optional<RecordedAnswer> recorded;
+
+private:
+    ManualClock &m_clock;
+};
+
+using Calls = std::vector<std::string>;
+
+} // namespace
+
+TEST_SUITE_BEGIN("Request");
+
+struct RequestClaimFixture
+    : TargetGate
+    , AttemptTransport
+    , RetryTokens
+    , RequestObserver
+{
+    RequestClaimFixture()
+    {
+        info.id = RequestId("request-1");
+        info.service = ServiceName("jomakhata");
+        info.method = "POST";
+        info.path = "/credits";
+        info.idempotent = false;
+        info.key = IdempotencyKey("key-1");
+        info.fingerprint = ContentDigest("print-1");
+        info.deadline = TimePoint(10s);
+    }
+
+    std::variant<TargetLease, RefusalReason> acquire(const RequestInfo &,
+                                                     std::span<const TargetId>) override
+    {
+        if (refusal)
+            return *refusal;
+        clock.advance(queueTime);
+        return TargetLease{&target, 0, nullptr};
+    }
+    void release(const TargetLease &, const AttemptResult &) override { ++slotsReleased; }
+    void cancel(const TargetLease &) override { ++slotsCancelled; }
+    AttemptResult attempt(const AttemptRequest &) override
+    {
+        ++attempts;
+        if (attemptEnds.empty())
+            return {Answered{{200, {{"content-type", "text/plain"}}, "paid"}}, {}, false, {}};
+        auto end = attemptEnds.front();
+        attemptEnds.pop_front();
+        return {end, std::nullopt, false, {}};
+    }
+    void recordFirstAttempt() override {}
+    bool takeRetry() override { return true; }
+    void retried(RetryReason) override {}
+    void retryDenied(RetryDenial) override {}
+
+    RequestOutcome run()
+    {
+        const ClaimPorts claims{store, random, vm};
+        RequestExecutor executor({*this, *this, *this, *this, clock, withStore ? &claims : nullptr},
+                                 policy);
+        return executor.run(info, {}, "body");
+    }
+    RefusalReason runRefused() { return std::get<Refusal>(run()).reason; }
+    UnknownReason runUnknown() { return std::get<Unknown>(run()).reason; }
+
+    ManualClock clock;
+    ScriptedClaimStore store{clock};
+    RandomSource random{1};
+    VmId vm{"vm-1"};
+    bool withStore = true;
+    ServicePolicy policy;
+    RequestInfo info;
+    TargetSpec target{TargetId("target-1"), {}, {}, 1};
+    std::optional<RefusalReason> refusal;
+    Duration queueTime{};
+    std::deque<std::variant<Answered, NotRun, Unknown>> attemptEnds;
+    int attempts = 0;
+    int slotsReleased = 0;
+    int slotsCancelled = 0;
+};
+
+// Guards against a send without a claim.
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, with an answered request, is made and recorded")
+{
+    CHECK(std::get<Answer>(run()).body == "paid");
+    CHECK(store.calls == Calls{"insert", "record tag-1"});
+    REQUIRE(store.recorded);
+    CHECK(store.recorded->contentType == "text/plain");
+    CHECK(store.recorded->body == "paid");
+}
+
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, with an idempotent request, is not made")
+{
+    info.idempotent = true;
+    CHECK(std::holds_alternative<Answer>(run()));
+    CHECK(store.calls.empty());
+}
+
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, without a key, is not made")
+{
+    info.key.reset();
+    CHECK(std::holds_alternative<Answer>(run()));
+    CHECK(store.calls.empty());
+}
+
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, without a store, refuses before sending")
+{
+    withStore = false;
+    CHECK(runRefused() == RefusalReason::ClaimStoreUnavailable);
+    CHECK(attempts == 0);
+    CHECK(slotsCancelled == 1);
+}
+
+// Guards against store writes for requests that the queue refuses anyway.
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, with a full queue, is not made")
+{
+    refusal = RefusalReason::QueueFull;
+    CHECK(runRefused() == RefusalReason::QueueFull);
+    CHECK(store.calls.empty());
+}
+
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, with a store that takes no write, refuses")
+{
+    store.insertEnd = {ClaimWriteStatus::NotWritten, {}};
+    CHECK(runRefused() == RefusalReason::ClaimStoreUnavailable);
+    CHECK(store.calls == Calls{"insert"});
+    CHECK(attempts == 0);
+    CHECK(slotsCancelled == 1);
+    CHECK(slotsReleased == 0);
+}
+
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, with a lost answer and its own row, is held")
+{
+    store.insertEnd = {ClaimWriteStatus::Unknown, {}};
+    store.readsOwnClaim = true;
+    CHECK(std::holds_alternative<Answer>(run()));
+    CHECK(store.calls == Calls{"insert", "read", "record tag-own"});
+}
+
+// Guards against an attempt without a row, which would let a repeat run as well.
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, with a lost answer and no row, refuses")
+{
+    store.insertEnd = {ClaimWriteStatus::Unknown, {}};
+    CHECK(runRefused() == RefusalReason::ClaimStoreUnavailable);
+    CHECK(store.calls == Calls{"insert", "read"});
+    CHECK(attempts == 0);
+}
+
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, with a lost answer and a failed read, refuses")
+{
+    store.insertEnd = {ClaimWriteStatus::Unknown, {}};
+    store.readEnd = ClaimAbsence::ReadFailed;
+    CHECK(runRefused() == RefusalReason::ClaimStoreUnavailable);
+    CHECK(attempts == 0);
+}
+
+TEST_CASE_FIXTURE(RequestClaimFixture, "repeat, with a recorded answer, gets it")
+{
+    store.insertEnd = {ClaimWriteStatus::ConditionFailed, {}};
+    store.readEnd = StoredClaim{
+            {ClaimId("other"), info.fingerprint, vm, RecordedAnswer{201, "application/json", "{}"}},
+            "tag-9"};
+    const auto answer = std::get<Answer>(run());
+    CHECK(answer.status == 201);
+    CHECK(answer.headers.at(0).value == "application/json");
+    CHECK(answer.body == "{}");
+    CHECK(attempts == 0);
+    CHECK(store.calls == Calls{"insert", "read"});
+}
+
+TEST_CASE_FIXTURE(RequestClaimFixture, "repeat, without a recorded answer, is unknown")
+{
+    store.insertEnd = {ClaimWriteStatus::ConditionFailed, {}};
+    store.readEnd = StoredClaim{{ClaimId("other"), info.fingerprint, vm, std::nullopt}, "tag-9"};
+    CHECK(runUnknown() == UnknownReason::AlreadyAccepted);
+    CHECK(attempts == 0);
+}
+
+// Guards against a repeat that gets a piece of an answer.
+TEST_CASE_FIXTURE(RequestClaimFixture, "repeat, with an answer too large to keep, is unknown")
+{
+    attemptEnds.emplace_back(Answered{{200, {}, std::string(recordedBodyLimit + 1, 'x')}});
+    CHECK(std::holds_alternative<Answer>(run()));
+    REQUIRE(store.recorded);
+    CHECK(!store.recorded->body);
+    store.insertEnd = {ClaimWriteStatus::ConditionFailed, {}};
+    store.readEnd = StoredClaim{{ClaimId("other"), info.fingerprint, vm, store.recorded}, "tag-9"};
+    CHECK(runUnknown() == UnknownReason::AlreadyAccepted);
+}
+
+TEST_CASE_FIXTURE(RequestClaimFixture, "key, with another fingerprint, is refused")
+{
+    store.insertEnd = {ClaimWriteStatus::ConditionFailed, {}};
+    store.readEnd = StoredClaim{{ClaimId("other"), ContentDigest("print-2"), vm, std::nullopt},
+                                "tag-9"};
+    CHECK(runRefused() == RefusalReason::KeyReused);
+    CHECK(attempts == 0);
+}
+
+// Guards against "not run" for a key that another request may have run.
+TEST_CASE_FIXTURE(RequestClaimFixture, "repeat, with a row that cannot be read, is unknown")
+{
+    store.insertEnd = {ClaimWriteStatus::ConditionFailed, {}};
+    store.readEnd = ClaimAbsence::ReadFailed;
+    CHECK(runUnknown() == UnknownReason::AlreadyAccepted);
+    store.readEnd = ClaimAbsence::NotAClaim;
+    CHECK(runUnknown() == UnknownReason::AlreadyAccepted);
+    CHECK(attempts == 0);
+}
+
+// Guards against a send after a pause while the claim was made.
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, older than its limit, is released without a send")
+{
+    store.insertTime = claimMaxAge + 1ms;
+    CHECK(runRefused() == RefusalReason::ClaimExpired);
+    CHECK(attempts == 0);
+    CHECK(store.calls == Calls{"insert", "release tag-1"});
+    CHECK(slotsCancelled == 1);
+}
+
+// Guards against an age that is checked for the first attempt only.
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, grown old between attempts, is released")
+{
+    queueTime = claimMaxAge + 1ms;
+    attemptEnds.emplace_back(NotRun{});
+    CHECK(runRefused() == RefusalReason::ClaimExpired);
+    CHECK(attempts == 1);
+    CHECK(store.calls == Calls{"insert", "release tag-1"});
+}
+
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, with a passed deadline, is released without a send")
+{
+    info.deadline = TimePoint(1s);
+    store.insertTime = 1s;
+    CHECK(runRefused() == RefusalReason::DeadlineExpired);
+    CHECK(attempts == 0);
+    CHECK(store.calls == Calls{"insert", "release tag-1"});
+}
+
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, with attempts that did not run, is kept for all")
+{
+    attemptEnds.emplace_back(NotRun{});
+    attemptEnds.emplace_back(NotRun{RetryReason::Shed});
+    CHECK(std::holds_alternative<Answer>(run()));
+    CHECK(attempts == 3);
+    CHECK(store.calls == Calls{"insert", "record tag-1"});
+}
+
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, with only attempts that did not run, is released")
+{
+    policy.retry.maxAttempts = 1;
+    attemptEnds.emplace_back(NotRun{});
+    CHECK(runRefused() == RefusalReason::TargetUnreachable);
+    CHECK(store.calls == Calls{"insert", "release tag-1"});
+}
+
+// Guards against a second run: a request that may have run must keep its row.
+TEST_CASE_FIXTURE(RequestClaimFixture, "claim, with an attempt that may have run, stays")
+{
+    attemptEnds.emplace_back(Unknown{UnknownReason::ConnectionReset});
+    CHECK(runUnknown() == UnknownReason::ConnectionReset);
+    CHECK(attempts == 1);
+    CHECK(store.calls == Calls{"insert"});
+}
+
+TEST_SUITE_END();
