Process: Keep claims in the table service

ClaimStoreClient maps the ClaimStore port to rows claims/<service>/<key>, and ClaimRowCodec writes them as JSON with the answer's body in base64, since it may be any bytes. VmProcess gives the store to each request.

--- a/Source/Main/VmProcess.cpp
+++ b/Source/Main/VmProcess.cpp
@@ -34,6 +34,7 @@
     , m_tables(m_platform)
     , m_objects(m_platform)
     , m_presets(m_tables, m_objects)
+    , m_claims(m_tables)
     , m_transport(m_clock, settings.answerLimit)
     , m_state(m_settings, m_clock, RandomSource::fromSystem(), *this, events, m_metrics)
     , m_io(ioThreadCount)
@@ -91,8 +92,11 @@
     if (it == current->services.end())
         return Refusal{RefusalReason::UnknownService};
     auto &service = *it->second;
-    RequestExecutor executor({service.gate, m_transport, service.budget, m_metrics, m_clock},
-                             policy);
+    // A source for each thread, so that making a claim id takes no lock.
+    thread_local auto claimIds = RandomSource::fromSystem();
+    const ClaimPorts claims{m_claims, claimIds, m_settings.vm};
+    RequestExecutor executor(
+            {service.gate, m_transport, service.budget, m_metrics, m_clock, &claims}, policy);
     return executor.run(info, headers, body);
 }
 
--- a/Source/Main/VmProcess.h
+++ b/Source/Main/VmProcess.h
@@ -66,6 +66,7 @@
     TableClient m_tables;
     ObjectClient m_objects;
     PresetStoreClient m_presets;
+    ClaimStoreClient m_claims;
     HttpTransport m_transport;
 
     /** Read and written by std::atomic_load and std::atomic_store only. */
--- /dev/null
+++ b/Source/Process/Http/ClaimStoreClient.cpp
@@ -0,0 +1,64 @@
+#include "Process/Http/ProcessHttp.h"
+
+namespace Sapphireladder {
+
+namespace {
+
+constexpr std::string_view claimTable = "claims";
+
+std::string rowKey(const ClaimKey &key)
+{
+    return std::string(key.service) + "/" + std::string(key.key);
+}
+
+ClaimWriteStatus statusOf(WriteStatus status)
+{
+    switch (status) {
+    case WriteStatus::Written:
+        return ClaimWriteStatus::Written;
+    case WriteStatus::ConditionFailed:
+        return ClaimWriteStatus::ConditionFailed;
+    case WriteStatus::NotWritten:
+        return ClaimWriteStatus::NotWritten;
+    case WriteStatus::Unknown:
+        break;
+    }
+    return ClaimWriteStatus::Unknown;
+}
+
+ClaimWrite claimWriteOf(WriteResult result)
+{
+    return {statusOf(result.status), std::move(result.tag)};
+}
+
+} // namespace
+
+ClaimWrite ClaimStoreClient::insert(const ClaimKey &key, const Claim &claim)
+{
+    return claimWriteOf(m_tables.insert(claimTable, rowKey(key), encodeClaim(claim)));
+}
+
+ClaimRead ClaimStoreClient::read(const ClaimKey &key)
+{
+    auto row = m_tables.read(claimTable, rowKey(key));
+    if (!row)
+        return ClaimAbsence::ReadFailed;
+    if (!row.value())
+        return ClaimAbsence::NoRow;
+    auto claim = decodeClaim(row.value()->value);
+    if (!claim)
+        return ClaimAbsence::NotAClaim;
+    return StoredClaim{std::move(claim.value()), std::move(row.value()->tag)};
+}
+
+ClaimWrite ClaimStoreClient::record(const ClaimKey &key, const Claim &claim, std::string_view tag)
+{
+    return claimWriteOf(m_tables.update(claimTable, rowKey(key), encodeClaim(claim), tag));
+}
+
+ClaimWrite ClaimStoreClient::release(const ClaimKey &key, std::string_view tag)
+{
+    return claimWriteOf(m_tables.remove(claimTable, rowKey(key), tag));
+}
+
+} // namespace Sapphireladder
--- a/Source/Process/Http/ProcessHttp.h
+++ b/Source/Process/Http/ProcessHttp.h
@@ -4,6 +4,8 @@
 
 #include "Process/Http/AdminServer.h"
 #include "Process/Http/AdminService.h"
+#include "Process/Http/ClaimRowCodec.h"
+#include "Process/Http/ClaimStoreClient.h"
 #include "Process/Http/PlatformClient.h"
 #include "Process/Http/PresetStoreClient.h"
 #include "Process/Http/RowCodec.h"
