Testbed: Give the stand-in target and platform their faults

The target now has slots with a bounded queue, seeded service times, drains, cold starts, stragglers, rejections, silence, spoiled answers, false reports and a noisy tenant. It counts runs by key. The platform has outages, delays, lost answers, late old rows and a VM list that lags. Faults are rows of tables and are changed at run time by JSON, or by the same names on the command line.

The stand-ins serve connections by themselves instead of through Poco::Net::HTTPServer, because silence depends on when a connection was opened, and because a stop must wake threads that wait for input.

--- a/Tests/Testbed/HttpStandin.cpp
+++ b/Tests/Testbed/HttpStandin.cpp
@@ -1,51 +1,144 @@
 #include "Testbed/Testbed.h"
 
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
+#include <Poco/Exception.h>
 #include <Poco/Net/HTTPServerParams.h>
-#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/TCPServerConnection.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
 
+#include <condition_variable>
 #include <istream>
+#include <list>
+#include <mutex>
 
 namespace Sapphireladder::Testbed {
 
-namespace {
+/** Lets the end of a stand-in close connections whose threads wait for input. */
+class OpenConnections
+{
+public:
+    using Position = std::list<Poco::Net::StreamSocket>::iterator;
+
+    explicit OpenConnections(HttpHandler handler)
+        : m_handler(std::move(handler))
+    {}
+
+    Position add(const Poco::Net::StreamSocket &socket)
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_sockets.insert(m_sockets.end(), socket);
+    }
 
-using Poco::Net::HTTPServerRequest;
-using Poco::Net::HTTPServerResponse;
+    void remove(Position position)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_sockets.erase(position);
+        m_removed.notify_all();
+    }
+
+    bool isStopped()
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_stopped;
+    }
+
+    void handle(HttpExchangeContext &context) const { m_handler(context); }
+
+    /** Closes every connection and waits until the last one was removed. */
+    void stop()
+    {
+        std::unique_lock lock(m_mutex);
+        m_stopped = true;
+        for (auto &it : m_sockets) {
+            // Wakes the connection's thread. The descriptor stays open until the thread is done.
+            if (it.impl()->initialized())
+                ::shutdown(it.impl()->sockfd(), SHUT_RDWR);
+        }
+        m_removed.wait(lock, [this] { return m_sockets.empty(); });
+    }
+
+private:
+    const HttpHandler m_handler;
+    std::mutex m_mutex;
+    std::condition_variable m_removed;
+    std::list<Poco::Net::StreamSocket> m_sockets;
+    bool m_stopped = false;
+};
+
+namespace {
 
 /** A thread for each connection; enough for the connections of a test. */
-constexpr int maxThreads = 512;
+constexpr int maxThreads = 1024;
+
+Poco::Net::HTTPServerParams::Ptr serverParams()
+{
+    Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
+    params->setMaxThreads(maxThreads);
+    params->setMaxQueued(1024);
+    params->setKeepAlive(true);
+    params->setMaxKeepAliveRequests(0);
+    params->setKeepAliveTimeout(Poco::Timespan(60, 0));
+    return params;
+}
 
-class Handler final : public Poco::Net::HTTPRequestHandler
+/** One connection, which hands its requests to the stand-in's function one after the other. */
+class StandinConnection final : public Poco::Net::TCPServerConnection
 {
 public:
-    explicit Handler(const HttpHandler &handler)
-        : m_handler(handler)
+    StandinConnection(const Poco::Net::StreamSocket &socket,
+                      std::shared_ptr<OpenConnections> connections)
+        : TCPServerConnection(socket)
+        , m_connections(std::move(connections))
     {}
-    void handleRequest(HTTPServerRequest &request, HTTPServerResponse &response) override
+
+    void run() override
     {
-        m_handler(request, response);
+        const auto position = m_connections->add(socket());
+        try {
+            serveAll();
+        } catch (const Poco::Exception &) {
+            // The peer is gone or did not send HTTP.
+        }
+        m_connections->remove(position);
     }
 
 private:
-    const HttpHandler &m_handler;
+    void serveAll()
+    {
+        const auto openedAt = SteadyClock().now();
+        Poco::Net::HTTPServerSession session(socket(), serverParams());
+        while (!m_connections->isStopped() && session.hasMoreRequests()) {
+            Poco::Net::HTTPServerResponseImpl response(session);
+            Poco::Net::HTTPServerRequestImpl request(response, session, nullptr);
+            response.setVersion(request.getVersion());
+            response.setKeepAlive(request.getKeepAlive());
+            HttpExchangeContext context{request, response, session.socket(), openedAt};
+            m_connections->handle(context);
+            session.setKeepAlive(response.getKeepAlive());
+        }
+    }
+
+    std::shared_ptr<OpenConnections> m_connections;
 };
 
-class HandlerFactory final : public Poco::Net::HTTPRequestHandlerFactory
+class StandinConnectionFactory final : public Poco::Net::TCPServerConnectionFactory
 {
 public:
-    explicit HandlerFactory(HttpHandler handler)
-        : m_handler(std::move(handler))
+    explicit StandinConnectionFactory(std::shared_ptr<OpenConnections> connections)
+        : m_connections(std::move(connections))
     {}
-    Poco::Net::HTTPRequestHandler *createRequestHandler(const HTTPServerRequest &) override
+
+    Poco::Net::TCPServerConnection *createConnection(const Poco::Net::StreamSocket &socket) override
     {
-        return new Handler(m_handler);
+        return new StandinConnection(socket, m_connections);
     }
 
 private:
-    HttpHandler m_handler;
+    std::shared_ptr<OpenConnections> m_connections;
 };
 
 Poco::ThreadPool &serverThreads()
@@ -57,24 +150,20 @@
 } // namespace
 
 HttpStandin::HttpStandin(const Endpoint &endpoint, HttpHandler handler)
+    : m_connections(std::make_shared<OpenConnections>(std::move(handler)))
 {
     Poco::Net::ServerSocket socket;
     socket.bind(Poco::Net::SocketAddress(endpoint.host, endpoint.port), true);
     socket.listen(1024);
-    Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
-    params->setMaxThreads(maxThreads);
-    params->setMaxQueued(1024);
-    params->setKeepAlive(true);
-    params->setMaxKeepAliveRequests(0);
-    params->setKeepAliveTimeout(Poco::Timespan(60, 0));
-    m_server = std::make_unique<Poco::Net::HTTPServer>(new HandlerFactory(std::move(handler)),
-                                                       serverThreads(), socket, params);
+    m_server = std::make_unique<Poco::Net::TCPServer>(new StandinConnectionFactory(m_connections),
+                                                      serverThreads(), socket, serverParams());
     m_server->start();
 }
 
 HttpStandin::~HttpStandin()
 {
-    m_server->stopAll(true);
+    m_server->stop();
+    m_connections->stop();
 }
 
 Endpoint HttpStandin::endpoint() const
@@ -83,7 +172,7 @@
     return {address.host().toString(), address.port()};
 }
 
-std::string readBody(HTTPServerRequest &request)
+std::string readBody(Poco::Net::HTTPServerRequest &request)
 {
     std::string body;
     char buf[16384];
@@ -93,10 +182,31 @@
     return body;
 }
 
-void sendAnswer(HTTPServerResponse &response, unsigned status, std::string_view body)
+void sendAnswer(Poco::Net::HTTPServerResponse &response, unsigned status, std::string_view body)
 {
     response.setStatusAndReason(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
     response.sendBuffer(body.data(), body.size());
 }
 
+void sendRaw(const HttpExchangeContext &context, std::string_view bytes)
+{
+    while (!bytes.empty()) {
+        const int n = context.socket.sendBytes(bytes.data(), static_cast<int>(bytes.size()));
+        bytes.remove_prefix(static_cast<std::size_t>(n));
+    }
+}
+
+void closeConnection(const HttpExchangeContext &context)
+{
+    context.response.setKeepAlive(false);
+    ::shutdown(context.socket.impl()->sockfd(), SHUT_RDWR);
+}
+
+void resetConnection(const HttpExchangeContext &context)
+{
+    context.response.setKeepAlive(false);
+    context.socket.setLinger(true, 0);
+    context.socket.close();
+}
+
 } // namespace Sapphireladder::Testbed
--- a/Tests/Testbed/Main.cpp
+++ b/Tests/Testbed/Main.cpp
@@ -2,6 +2,7 @@
 
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 
@@ -29,42 +30,91 @@
     std::signal(SIGPIPE, SIG_IGN);
 }
 
-int runTarget(int argc, const char *const *argv)
+/** @return the arguments with "--service-time" written as "--service_time", as in JSON. */
+std::vector<std::string> withFieldNames(std::span<const char *const> arguments)
+{
+    std::vector<std::string> result(arguments.begin(), arguments.end());
+    for (auto &it : result) {
+        if (!it.starts_with("--"))
+            continue;
+        const auto nameEnd = it.begin() + static_cast<long>(std::min(it.find('='), it.size()));
+        std::replace(it.begin() + 2, nameEnd, '-', '_');
+    }
+    return result;
+}
+
+/** Declares the options that set an object's fields. */
+template<typename Object>
+void addFields(cxxopts::Options &options, std::span<const Testbed::Field<Object>> fields)
+{
+    for (const auto &it : fields) {
+        options.add_options()(std::string(it.name), std::string(it.help),
+                              cxxopts::value<std::string>());
+    }
+}
+
+cxxopts::ParseResult parseArguments(cxxopts::Options &options,
+                                    std::span<const char *const> arguments)
+{
+    const auto texts = withFieldNames(arguments);
+    std::vector<const char *> pointers;
+    pointers.reserve(texts.size());
+    for (const auto &it : texts)
+        pointers.push_back(it.c_str());
+    return options.parse(static_cast<int>(pointers.size()), pointers.data());
+}
+
+/** Sets the fields that the command line names. */
+template<typename Object>
+Result<> readFields(Object &object, std::span<const Testbed::Field<Object>> fields,
+                    const cxxopts::ParseResult &parsed)
+{
+    for (const auto &it : fields) {
+        const std::string name(it.name);
+        if (parsed.count(name) == 0)
+            continue;
+        TRY(Testbed::setField(object, fields, name, parsed[name].as<std::string>()));
+    }
+    return success();
+}
+
+Result<> runTarget(std::span<const char *const> arguments)
 {
     cxxopts::Options options("sapphireladder-testbed target", "Runs a stand-in target.");
     options.add_options()("endpoint", "address", cxxopts::value<std::string>());
-    options.add_options()("name", "name in answers", cxxopts::value<std::string>());
-    options.add_options()("slots", "requests at a time",
-                          cxxopts::value<unsigned>()->default_value("6"));
-    options.add_options()("service-time", "time of a request, such as 10ms",
-                          cxxopts::value<std::string>()->default_value("10ms"));
-    const auto arguments = options.parse(argc, argv);
+    options.add_options()("name", "name in answers",
+                          cxxopts::value<std::string>()->default_value("target"));
+    addFields(options, Testbed::targetFields());
+    const auto parsed = parseArguments(options, arguments);
     Testbed::TargetOptions target;
-    target.endpoint = Endpoint::parse(arguments["endpoint"].as<std::string>()).value();
-    target.name = arguments["name"].as<std::string>();
-    target.slots = arguments["slots"].as<unsigned>();
-    target.serviceTime = parseDuration(arguments["service-time"].as<std::string>()).value();
+    TRY_ASSIGN(endpoint, Endpoint::parse(parsed["endpoint"].as<std::string>()));
+    target.endpoint = endpoint;
+    target.name = parsed["name"].as<std::string>();
+    TRY(readFields(target.behaviour, Testbed::targetFields(), parsed));
     const Testbed::Target standin(target);
     waitForStop();
-    return 0;
+    return success();
 }
 
-int runPlatform(int argc, const char *const *argv)
+Result<> runPlatform(std::span<const char *const> arguments)
 {
     cxxopts::Options options("sapphireladder-testbed platform", "Runs a stand-in platform.");
     options.add_options()("endpoint", "address", cxxopts::value<std::string>());
-    const auto arguments = options.parse(argc, argv);
-    const Testbed::Platform standin(
-            Endpoint::parse(arguments["endpoint"].as<std::string>()).value());
+    addFields(options, Testbed::platformFields());
+    const auto parsed = parseArguments(options, arguments);
+    TRY_ASSIGN(endpoint, Endpoint::parse(parsed["endpoint"].as<std::string>()));
+    Testbed::PlatformFaults faults;
+    TRY(readFields(faults, Testbed::platformFields(), parsed));
+    const Testbed::Platform standin(endpoint, faults);
     waitForStop();
-    return 0;
+    return success();
 }
 
 /** One row of the table of subcommands. */
 struct Command
 {
     std::string_view name;
-    int (*run)(int argc, const char *const *argv);
+    Result<> (*run)(std::span<const char *const> arguments);
 };
 
 constexpr Command commands[] = {
@@ -72,14 +122,29 @@
         {"platform", runPlatform},
 };
 
+int runCommand(const Command &command, std::span<const char *const> arguments)
+{
+    try {
+        const auto end = command.run(arguments);
+        if (end)
+            return 0;
+        std::cerr << "sapphireladder-testbed " << command.name << ": " << end.error().toString()
+                  << '\n';
+    } catch (const cxxopts::exceptions::exception &exception) {
+        std::cerr << "sapphireladder-testbed " << command.name << ": " << exception.what() << '\n';
+    }
+    return 1;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     blockStopSignals();
+    const std::span<const char *const> arguments(argv, static_cast<std::size_t>(argc));
     for (const auto &it : commands) {
-        if (argc > 1 && argv[1] == it.name)
-            return it.run(argc - 1, argv + 1);
+        if (argc > 1 && arguments[1] == it.name)
+            return runCommand(it, arguments.subspan(1));
     }
     std::cerr << "usage: sapphireladder-testbed target|platform [OPTIONS]\n";
     return 2;
--- a/Tests/Testbed/Platform.cpp
+++ b/Tests/Testbed/Platform.cpp
@@ -8,11 +8,6 @@
 
 namespace {
 
-std::string formatTag(std::uint64_t tag)
-{
-    return "\"" + std::to_string(tag) + "\"";
-}
-
 /** @return segments of the path, decoded. */
 std::vector<std::string> pathSegments(const std::string &uri)
 {
@@ -30,97 +25,188 @@
     return {};
 }
 
+WriteCondition conditionOf(const Poco::Net::HTTPServerRequest &request)
+{
+    return {request.has("If-None-Match"), request.get("If-Match", "")};
+}
+
 } // namespace
 
-Platform::Platform(const Endpoint &endpoint)
-    : m_server(endpoint, [this](auto &request, auto &response) { handle(request, response); })
+Platform::Platform(const Endpoint &endpoint, const PlatformFaults &faults)
+    : m_faults(faults)
+    , m_random(faults.seed)
+    , m_server(endpoint, [this](auto &context) { handle(context); })
 {}
 
-void Platform::handle(Poco::Net::HTTPServerRequest &request,
-                      Poco::Net::HTTPServerResponse &response)
+Platform::~Platform()
 {
-    const auto segments = pathSegments(request.getURI());
-    if (segments.size() == 3 && segments[0] == "tables")
-        handleRow(request, response, segments[1], segments[2]);
-    else if (segments.size() == 2 && segments[0] == "tables")
-        handleList(response, segments[1], queryValue(request.getURI(), "prefix"));
-    else if (segments.size() == 2 && segments[0] == "objects")
-        handleObject(request, response, segments[1]);
-    else
-        sendAnswer(response, 404, "");
+    m_stop.stop();
+    m_data.stop();
 }
 
-void Platform::handleRow(Poco::Net::HTTPServerRequest &request,
-                         Poco::Net::HTTPServerResponse &response, const std::string &table,
-                         const std::string &key)
+std::span<const Platform::Route> Platform::testRoutes()
 {
-    const auto body = readBody(request);
-    std::unique_lock lock(m_mutex);
-    auto &rows = m_tables[table];
-    const auto it = rows.find(key);
-    const bool exists = it != rows.end();
-    const bool conditionFails = (request.has("If-None-Match") && exists)
-                                || (request.has("If-Match")
-                                    && (!exists
-                                        || request.get("If-Match") != formatTag(it->second.tag)));
-    if (conditionFails) {
-        lock.unlock();
-        sendAnswer(response, 412, "");
+    static constexpr Route routes[] = {
+            {"POST", "faults", 1, &Platform::changeFaults},
+            {"PUT", "vms", 1, &Platform::setVmList},
+            {"GET", "counters", 1, &Platform::showCounters},
+    };
+    return routes;
+}
+
+std::span<const Platform::Route> Platform::platformRoutes()
+{
+    static constexpr Route routes[] = {
+            {"GET", "tables", 3, &Platform::readRow},
+            {"PUT", "tables", 3, &Platform::putRow},
+            {"DELETE", "tables", 3, &Platform::removeRow},
+            {"GET", "tables", 2, &Platform::listRows},
+            {"GET", "objects", 2, &Platform::readObject},
+            {"PUT", "objects", 2, &Platform::putObject},
+            {"GET", "vms", 1, &Platform::showVmList},
+    };
+    return routes;
+}
+
+void Platform::handle(HttpExchangeContext &context)
+{
+    const auto &uri = context.request.getURI();
+    Call call{context, pathSegments(uri), readBody(context.request), {}, false};
+    if (route(testRoutes(), call))
         return;
-    }
-    if (request.getMethod() == "PUT") {
-        rows[key] = {body, m_nextTag};
-        response.set("ETag", formatTag(m_nextTag++));
-        lock.unlock();
-        sendAnswer(response, 200, "");
+    call.isWrite = context.request.getMethod() != "GET";
+    ++(call.isWrite ? m_writes : m_reads);
+    call.faults = faultsFor(uri);
+    if (!admit(call))
         return;
+    if (!route(platformRoutes(), call))
+        sendAnswer(context.response, 404, "");
+}
+
+bool Platform::route(std::span<const Route> routes, Call &call)
+{
+    for (const auto &it : routes) {
+        if (it.method != call.context.request.getMethod() || it.segmentCount != call.segments.size()
+            || it.first != call.segments.front())
+            continue;
+        (this->*it.handle)(call);
+        return true;
     }
-    if (!exists) {
-        lock.unlock();
-        sendAnswer(response, 404, "");
-        return;
+    return false;
+}
+
+PlatformFaults Platform::faultsFor(const std::string &path)
+{
+    const std::lock_guard lock(m_mutex);
+    return path.starts_with(m_faults.onlyPath) ? m_faults : PlatformFaults{};
+}
+
+bool Platform::admit(const Call &call)
+{
+    if (call.faults.down->fate == CallFate::Closed) {
+        closeConnection(call.context);
+        return false;
+    }
+    if (call.faults.down->fate == CallFate::Refused) {
+        sendAnswer(call.context.response, 503, "");
+        return false;
     }
-    const auto row = it->second;
-    if (request.getMethod() == "DELETE")
-        rows.erase(it);
+    const auto hold = call.faults.delay + (call.isWrite ? call.faults.delayedWrites : Duration());
+    if (m_stop.waitFor(hold)) {
+        closeConnection(call.context);
+        return false;
+    }
+    return true;
+}
+
+void Platform::changeFaults(Call &call)
+{
+    std::unique_lock lock(m_mutex);
+    const auto names = setFields(m_faults, platformFields(), call.body);
+    if (names
+        && std::find(names.value().begin(), names.value().end(), "seed") != names.value().end())
+        m_random = RandomSource(m_faults.seed);
     lock.unlock();
-    response.set("ETag", formatTag(row.tag));
-    sendAnswer(response, 200, request.getMethod() == "GET" ? row.value : "");
+    sendAnswer(call.context.response, names ? 200 : 400,
+               names ? std::string() : names.error().toString());
+}
+
+void Platform::setVmList(Call &call)
+{
+    m_data.setVmList(call.body);
+    sendAnswer(call.context.response, 200, "");
+}
+
+void Platform::showCounters(Call &call)
+{
+    const nlohmann::json counters = {{"reads", m_reads.load()}, {"writes", m_writes.load()}};
+    sendAnswer(call.context.response, 200, counters.dump());
+}
+
+void Platform::readRow(Call &call)
+{
+    const auto &table = call.segments[1];
+    const auto &key = call.segments[2];
+    const auto row = m_data.readRow(table, key);
+    if (call.faults.oldRowLate > Duration::zero())
+        m_data.waitForChange(table, key, row, call.faults.oldRowLate);
+    if (!row)
+        return sendAnswer(call.context.response, 404, "");
+    call.context.response.set("ETag", row->tag);
+    sendAnswer(call.context.response, 200, row->value);
+}
+
+void Platform::putRow(Call &call)
+{
+    endWrite(call, m_data.putRow(call.segments[1], call.segments[2], call.body,
+                                 conditionOf(call.context.request)));
+}
+
+void Platform::removeRow(Call &call)
+{
+    endWrite(call, m_data.removeRow(call.segments[1], call.segments[2],
+                                    conditionOf(call.context.request)));
 }
 
-void Platform::handleList(Poco::Net::HTTPServerResponse &response, const std::string &table,
-                          const std::string &prefix)
+void Platform::listRows(Call &call)
 {
+    const auto prefix = queryValue(call.context.request.getURI(), "prefix");
     auto array = nlohmann::json::array();
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto &rows = m_tables[table];
-        for (auto it = rows.lower_bound(prefix); it != rows.end() && it->first.starts_with(prefix);
-             ++it) {
-            array.push_back({{"key", it->first},
-                             {"value", it->second.value},
-                             {"tag", formatTag(it->second.tag)}});
-        }
-    }
-    sendAnswer(response, 200, array.dump());
+    for (const auto &it : m_data.listRows(call.segments[1], prefix))
+        array.push_back({{"key", it.key}, {"value", it.value}, {"tag", it.tag}});
+    sendAnswer(call.context.response, 200, array.dump());
 }
 
-void Platform::handleObject(Poco::Net::HTTPServerRequest &request,
-                            Poco::Net::HTTPServerResponse &response, const std::string &name)
+void Platform::readObject(Call &call)
 {
-    const auto body = readBody(request);
-    std::unique_lock lock(m_mutex);
-    if (request.getMethod() == "PUT") {
-        m_objects[name] = body;
+    const auto content = m_data.readObject(call.segments[1]);
+    sendAnswer(call.context.response, content ? 200 : 404, content.value_or(""));
+}
+
+void Platform::putObject(Call &call)
+{
+    m_data.putObject(call.segments[1], call.body);
+    endWrite(call, {});
+}
+
+void Platform::showVmList(Call &call)
+{
+    sendAnswer(call.context.response, 200, m_data.vmList(call.faults.vmListLag));
+}
+
+void Platform::endWrite(const Call &call, const WriteEnd &end)
+{
+    const bool tookEffect = end.status < 300;
+    if (tookEffect && call.faults.loseAnswers > 0) {
+        std::unique_lock lock(m_mutex);
+        const bool lost = m_random.unit() < call.faults.loseAnswers;
         lock.unlock();
-        sendAnswer(response, 200, "");
-        return;
+        if (lost)
+            return closeConnection(call.context);
     }
-    const auto it = m_objects.find(name);
-    const bool exists = it != m_objects.end();
-    const std::string content = exists ? it->second : "";
-    lock.unlock();
-    sendAnswer(response, exists ? 200 : 404, content);
+    if (!end.tag.empty())
+        call.context.response.set("ETag", end.tag);
+    sendAnswer(call.context.response, end.status, "");
 }
 
 } // namespace Sapphireladder::Testbed
--- a/Tests/Testbed/Platform.h
+++ b/Tests/Testbed/Platform.h
@@ -1,40 +1,78 @@
 #pragma once
 
 #include "Testbed/HttpStandin.h"
+#include "Testbed/PlatformData.h"
+#include "Testbed/PlatformFaults.h"
+#include "Testbed/StopSignal.h"
 
-#include <map>
+#include <atomic>
 #include <mutex>
 
 namespace Sapphireladder::Testbed {
 
-/** A stand-in for the platform: table service, object store and VM list, in memory. */
+/**
+ * A stand-in for the platform: table service, object store and VM list, in memory. POST /faults,
+ * PUT /vms and GET /counters are for tests and meet no fault.
+ */
 class Platform
 {
 public:
-    explicit Platform(const Endpoint &endpoint);
+    explicit Platform(const Endpoint &endpoint, const PlatformFaults &faults = {});
+    ~Platform();
 
     Endpoint endpoint() const { return m_server.endpoint(); }
 
 private:
-    struct Row
+    /** One call, with the faults that it meets. */
+    struct Call
     {
-        std::string value;
-        std::uint64_t tag = 0;
+        HttpExchangeContext &context;
+        std::vector<std::string> segments;
+        std::string body;
+        PlatformFaults faults;
+        bool isWrite = false;
     };
-    using Table = std::map<std::string, Row>;
+    /** One row of the table of calls. */
+    struct Route
+    {
+        std::string_view method;
+        std::string_view first;
+        std::size_t segmentCount;
+        void (Platform::*handle)(Call &call);
+    };
+
+    static std::span<const Route> testRoutes();
+    static std::span<const Route> platformRoutes();
+
+    void handle(HttpExchangeContext &context);
+    bool route(std::span<const Route> routes, Call &call);
+    /** Applies faults before the call takes effect. @return whether it is served. */
+    bool admit(const Call &call);
+    PlatformFaults faultsFor(const std::string &path);
 
-    void handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
-    void handleRow(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response,
-                   const std::string &table, const std::string &key);
-    void handleList(Poco::Net::HTTPServerResponse &response, const std::string &table,
-                    const std::string &prefix);
-    void handleObject(Poco::Net::HTTPServerRequest &request,
-                      Poco::Net::HTTPServerResponse &response, const std::string &name);
+    void changeFaults(Call &call);
+    void setVmList(Call &call);
+    void showCounters(Call &call);
+
+    void readRow(Call &call);
+    void putRow(Call &call);
+    void removeRow(Call &call);
+    void listRows(Call &call);
+    void readObject(Call &call);
+    void putObject(Call &call);
+    void showVmList(Call &call);
+    /** Answers a write that took effect, unless the answer is lost. */
+    void endWrite(const Call &call, const WriteEnd &end);
+
+    StopSignal m_stop;
+    PlatformData m_data;
+    std::atomic<std::uint64_t> m_reads{0};
+    std::atomic<std::uint64_t> m_writes{0};
 
     std::mutex m_mutex;
-    std::map<std::string, Table> m_tables;
-    std::map<std::string, std::string> m_objects;
-    std::uint64_t m_nextTag = 1;
+    PlatformFaults m_faults;
+    RandomSource m_random;
+
     HttpStandin m_server;
 };
 
--- /dev/null
+++ b/Tests/Testbed/StopSignal.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "Core/Core.h"
+
+#include <condition_variable>
+#include <mutex>
+
+namespace Sapphireladder::Testbed {
+
+/** Lets threads that wait for time to pass end early when the stand-in stops. */
+class StopSignal
+{
+public:
+    void stop()
+    {
+        {
+            const std::lock_guard lock(m_mutex);
+            m_stopped = true;
+        }
+        m_changed.notify_all();
+    }
+
+    /** Waits for the duration. @return whether the stand-in stopped. */
+    bool waitFor(Duration duration)
+    {
+        std::unique_lock lock(m_mutex);
+        if (duration <= Duration::zero())
+            return m_stopped;
+        return m_changed.wait_for(lock, duration, [this] { return m_stopped; });
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    bool m_stopped = false;
+};
+
+} // namespace Sapphireladder::Testbed
--- a/Tests/Testbed/Target.h
+++ b/Tests/Testbed/Target.h
@@ -1,34 +1,88 @@
 #pragma once
 
-#include "Testbed/HttpStandin.h"
+#include "Testbed/RunLedger.h"
+#include "Testbed/StopSignal.h"
+#include "Testbed/TargetBehaviour.h"
 
 #include <atomic>
+#include <mutex>
 
 namespace Sapphireladder::Testbed {
 
-/** How a stand-in target behaves. */
+/** How a stand-in target starts. */
 struct TargetOptions
 {
     Endpoint endpoint;
     std::string name = "target";
-    unsigned slots = 6;
-    /** Time that a request holds a slot. */
-    Duration serviceTime = std::chrono::milliseconds(10);
+    TargetBehaviour behaviour;
 };
 
-/** A stand-in for one upstream instance. */
+/**
+ * A stand-in for one upstream instance. GET /health, /load, /runs, /counters and POST /behaviour
+ * take no slot; every other request does.
+ */
 class Target
 {
 public:
     explicit Target(const TargetOptions &options);
+    ~Target();
 
     Endpoint endpoint() const { return m_server.endpoint(); }
 
 private:
-    void handle(Poco::Net::HTTPServerRequest &request, Poco::Net::HTTPServerResponse &response);
+    /** The behaviour that one request meets. */
+    struct Situation
+    {
+        TargetBehaviour behaviour;
+        /** When `silent` was last set. */
+        TimePoint silenceSetAt;
+        bool cold = false;
+        unsigned inFlightAtChange = 0;
+    };
+    /** One row of the table of requests that take no slot. */
+    struct Page
+    {
+        std::string_view method;
+        std::string_view path;
+        void (Target::*show)(HttpExchangeContext &context);
+    };
+
+    void handle(HttpExchangeContext &context);
+    void showHealth(HttpExchangeContext &context);
+    void showLoad(HttpExchangeContext &context);
+    void showRuns(HttpExchangeContext &context);
+    void showCounters(HttpExchangeContext &context);
+    void changeBehaviour(HttpExchangeContext &context);
+
+    Situation situation();
+    bool staySilent(const HttpExchangeContext &context, const Situation &now);
+    void serve(HttpExchangeContext &context);
+    void runRequest(HttpExchangeContext &context, const Situation &now, std::size_t bodySize);
+    Duration drawServiceTime(const Situation &now);
+    bool drawFault(double share);
+    TargetAnswer rememberAnswer(const TargetAnswer &answer);
+    void refuse(HttpExchangeContext &context, const Situation &now, bool marked);
+    unsigned statedLoad(const Situation &now);
+    std::string loadField(const Situation &now);
+
+    const std::string m_name;
+    SteadyClock m_clock;
+    StopSignal m_stop;
+    SlotQueue m_slots;
+    RunLedger m_ledger;
+    std::atomic<std::uint64_t> m_requests{0};
+    std::atomic<std::uint64_t> m_probes{0};
+    std::atomic<std::uint64_t> m_shed{0};
+    std::atomic<std::uint64_t> m_rejected{0};
+
+    std::mutex m_mutex;
+    TargetBehaviour m_behaviour;
+    TimePoint m_startedAt;
+    TimePoint m_silenceSetAt;
+    unsigned m_inFlightAtChange = 0;
+    RandomSource m_random;
+    TargetAnswer m_earlier;
 
-    TargetOptions m_options;
-    std::atomic<unsigned> m_inFlight{0};
     HttpStandin m_server;
 };
 
--- /dev/null
+++ b/Tests/Testbed/TargetTest.cpp
@@ -0,0 +1,214 @@
+#include "Testbed/StandinFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <future>
+
+using namespace Sapphireladder;
+using namespace Sapphireladder::Testbed;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Testbed");
+
+struct TargetFixture
+{
+    static TargetOptions options()
+    {
+        TargetOptions result;
+        result.endpoint = {"127.0.0.1", 0};
+        result.behaviour.limits = {1, 0};
+        result.behaviour.serviceTime = 1ms;
+        return result;
+    }
+
+    void change(std::string_view json)
+    {
+        const auto end = callStandin(target.endpoint(),
+                                     {"POST", "/behaviour", {}, std::string(json), 20s});
+        REQUIRE(statusOf(end) == 200);
+    }
+
+    std::string page(const std::string &path)
+    {
+        return wholeOf(callStandin(target.endpoint(), {"GET", path, {}, {}, 20s})).body;
+    }
+
+    /** Waits until a request holds the only slot. */
+    void waitUntilBusy()
+    {
+        while (page("/load") != R"({"inflight":1,"slots":1})")
+            std::this_thread::sleep_for(1ms);
+    }
+
+    /** A request that runs until the target stops, so it is declared before the target. */
+    std::future<ExchangeEnd> running;
+    Target target{options()};
+};
+
+TEST_CASE_FIXTURE(TargetFixture, "target, with a request, gives an answer that proves itself whole")
+{
+    const auto end = callStandin(target.endpoint());
+    const auto &answer = wholeOf(end);
+    CHECK(checkAnswerBody(answer.body, "r1") == BodyCheck::Whole);
+    CHECK(checkAnswerBody(answer.body, "r2") == BodyCheck::OtherRequest);
+    CHECK(checkAnswerBody(answer.body.substr(1), "r1") == BodyCheck::Broken);
+    CHECK(answer.head.get("Sapphireladder-Load") == "0/1");
+    CHECK(page("/runs") == R"({"r1":1})");
+}
+
+TEST_CASE_FIXTURE(TargetFixture,
+                  "target, with all slots taken, sheds with the mark and runs nothing")
+{
+    change(R"({"service_time": "1h"})");
+    running = std::async([&] { return callStandin(target.endpoint()); });
+    waitUntilBusy();
+    const auto end = callStandin(target.endpoint(),
+                                 {"GET", "/", {{"X-Request-Id", "r2"}}, {}, 20s});
+    CHECK(statusOf(end) == 503);
+    CHECK(wholeOf(end).head.get("Sapphireladder-Shed", "") == "not-run");
+    CHECK(page("/runs") == R"({"r1":1})");
+}
+
+TEST_CASE_FIXTURE(TargetFixture, "target, with a queued request past its time, does not start it")
+{
+    change(R"({"service_time": "1h", "queue": 1})");
+    running = std::async([&] { return callStandin(target.endpoint()); });
+    waitUntilBusy();
+    const std::vector<HeaderField> headers = {{"X-Request-Id", "r2"},
+                                              {"Sapphireladder-Timeout-Ms", "10"}};
+    const auto end = callStandin(target.endpoint(), {"GET", "/", headers, {}, 20s});
+    CHECK(wholeOf(end).head.get("Sapphireladder-Shed", "") == "not-run");
+    CHECK(page("/runs") == R"({"r1":1})");
+}
+
+TEST_CASE_FIXTURE(TargetFixture, "target, with a drain, says so and still answers")
+{
+    change(R"({"draining": true})");
+    CHECK(page("/health") == R"({"state":"draining"})");
+    CHECK(wholeOf(callStandin(target.endpoint())).head.get("Sapphireladder-Draining", "")
+          == "true");
+}
+
+TEST_CASE_FIXTURE(TargetFixture, "target, with rejection, answers at once without running")
+{
+    change(R"({"reject": "plain"})");
+    CHECK(statusOf(callStandin(target.endpoint())) == 503);
+    CHECK_FALSE(wholeOf(callStandin(target.endpoint())).head.has("Sapphireladder-Shed"));
+    change(R"({"reject": "marked"})");
+    CHECK(wholeOf(callStandin(target.endpoint())).head.has("Sapphireladder-Shed"));
+    CHECK(page("/runs") == "{}");
+}
+
+TEST_CASE_FIXTURE(TargetFixture, "target, with silent connections, answers only on new ones")
+{
+    const auto session = openSession(target.endpoint());
+    REQUIRE(statusOf(callOn(*session, {})) == 200);
+    change(R"({"silent": "existing"})");
+    CHECK(statusOf(callStandin(target.endpoint())) == 200);
+    const auto end = callOn(*session, {"GET", "/", {}, {}, 50ms});
+    REQUIRE(std::holds_alternative<Unknown>(end));
+    CHECK(std::get<Unknown>(end).reason == UnknownReason::AnswerTimeout);
+}
+
+TEST_CASE_FIXTURE(TargetFixture, "target, with spoiled answers, is never taken for whole")
+{
+    struct Row
+    {
+        const char *style;
+        UnknownReason reason;
+    };
+    const Row rows[] = {
+            {"reset", UnknownReason::ConnectionReset},
+            {"cut", UnknownReason::AnswerCut},
+            {"cut-chunk", UnknownReason::AnswerCut},
+            {"no-length", UnknownReason::AnswerWithoutLength},
+            {"both-framings", UnknownReason::AnswerFraming},
+    };
+    for (const auto &it : rows) {
+        CAPTURE(it.style);
+        change(std::string(R"({"answer": ")") + it.style + R"("})");
+        const auto end = callStandin(target.endpoint());
+        REQUIRE(std::holds_alternative<Unknown>(end));
+        CHECK(std::get<Unknown>(end).reason == it.reason);
+    }
+}
+
+TEST_CASE_FIXTURE(TargetFixture, "target, with an answer to an earlier request, names that request")
+{
+    callStandin(target.endpoint());
+    change(R"({"answer": "earlier"})");
+    const auto end = callStandin(target.endpoint(),
+                                 {"GET", "/", {{"X-Request-Id", "r2"}}, {}, 20s});
+    CHECK(wholeOf(end).head.get("X-Request-Id") == "r1");
+    CHECK(checkAnswerBody(wholeOf(end).body, "r2") == BodyCheck::OtherRequest);
+}
+
+TEST_CASE_FIXTURE(TargetFixture, "target, with two answers, leaves bytes on the connection")
+{
+    change(R"({"answer": "twice"})");
+    const auto session = openSession(target.endpoint());
+    REQUIRE(statusOf(callOn(*session, {})) == 200);
+    while (!session->hasUnexpectedInput())
+        std::this_thread::sleep_for(1ms);
+    CHECK(page("/runs") == R"({"r1":1})");
+}
+
+TEST_CASE_FIXTURE(TargetFixture, "target, with lying reports, states another load than it has")
+{
+    change(R"({"report": "full"})");
+    CHECK(page("/load") == R"({"inflight":1,"slots":1})");
+    change(R"({"report": "idle"})");
+    CHECK(page("/load") == R"({"inflight":0,"slots":1})");
+}
+
+TEST_CASE_FIXTURE(TargetFixture, "target, with a repeated key, counts both runs")
+{
+    const StandinRequest request{"POST", "/", {{"Idempotency-Key", "k"}}, "body", 20s};
+    callStandin(target.endpoint(), request);
+    callStandin(target.endpoint(), request);
+    CHECK(page("/runs") == R"({"k":2})");
+    CHECK(page("/counters") == R"({"probes":0,"rejected":0,"requests":2,"shed":0})");
+}
+
+TEST_CASE_FIXTURE(TargetFixture, "target, with an unknown field, keeps its behaviour")
+{
+    const auto end = callStandin(
+            target.endpoint(),
+            {"POST", "/behaviour", {}, R"({"reject": "plain", "colour": 1})", 20s});
+    CHECK(statusOf(end) == 400);
+    CHECK(statusOf(callStandin(target.endpoint())) == 200);
+}
+
+TEST_CASE("noisy tenant, with a seed, repeats its bursts and takes its share")
+{
+    const NoiseOptions options{0.5, 30ms, 70ms};
+    NoisyTenant first(7);
+    NoisyTenant second(7);
+    first.setOptions(options, TimePoint());
+    second.setOptions(options, TimePoint());
+    unsigned busy = 0;
+    for (int i = 0; i < 10000; ++i) {
+        const auto now = TimePoint() + i * 1ms;
+        const auto held = first.heldSlots(6, now);
+        CHECK(held == second.heldSlots(6, now));
+        CHECK((held == 0 || held == 3));
+        busy += held > 0;
+    }
+    // Bursts fill 30 % of the time on average.
+    CHECK(busy > 2000);
+    CHECK(busy < 4000);
+}
+
+TEST_CASE("service times, with the log-normal style, keep their median")
+{
+    TargetBehaviour behaviour;
+    REQUIRE(setField(behaviour, targetFields(), "distribution", "log-normal"));
+    RandomSource random(3);
+    unsigned below = 0;
+    for (int i = 0; i < 10000; ++i)
+        below += behaviour.serviceTimeStyle->draw(14ms, 0.177, random) < 14ms;
+    CHECK(below > 4700);
+    CHECK(below < 5300);
+}
+
+TEST_SUITE_END();
--- a/Tests/Testbed/Testbed.h
+++ b/Tests/Testbed/Testbed.h
@@ -2,6 +2,17 @@
 
 /** @file Public header of the stand-ins that tests and measurements run against. */
 
+#include "Testbed/AnswerBody.h"
+#include "Testbed/AnswerStyle.h"
+#include "Testbed/FieldTable.h"
 #include "Testbed/HttpStandin.h"
+#include "Testbed/NoisyTenant.h"
 #include "Testbed/Platform.h"
+#include "Testbed/PlatformData.h"
+#include "Testbed/PlatformFaults.h"
+#include "Testbed/RunLedger.h"
+#include "Testbed/SlotQueue.h"
+#include "Testbed/StopSignal.h"
 #include "Testbed/Target.h"
+#include "Testbed/TargetBehaviour.h"
+#include "Testbed/TestbedError.h"
--- /dev/null
+++ b/Tests/Testbed/TestbedError.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <system_error>
+
+namespace Sapphireladder::Testbed {
+
+/** Failures of the stand-ins and of the load tool. */
+enum class TestbedError {
+    NotAnObject = 1,
+    UnknownField,
+    InvalidValue,
+};
+
+std::error_code make_error_code(TestbedError error);
+
+} // namespace Sapphireladder::Testbed
+
+template<>
+struct std::is_error_code_enum<Sapphireladder::Testbed::TestbedError> : std::true_type
+{};
