Version: Answer a repeated operation with the digest of its row

Cause: a repeated operation was answered with the digest that the preset's name has now. If the name had been given a new text since, the VM that ran the repetition could apply that text under the accepted version.

Change: the answer carries the row's own digest, or none if a later switch has replaced the row.

--- a/Source/Version/InForce.cpp
+++ b/Source/Version/InForce.cpp
@@ -50,10 +50,13 @@
     if (!accepted)
         return {SwitchStatus::Conflict, current, {}};
     SwitchResult result{SwitchStatus::Accepted, current, {}};
-    // A later switch may be in force by now. The operator is told the version of this one.
+    if (accepted->version == current.version)
+        return result;
+    // A later switch is in force by now. The operator is told the version of this one. The row
+    // does not keep its digest, and the preset's name may stand for another text since.
     result.inForce.version = accepted->version;
     result.inForce.preset = request.preset;
-    result.inForce.digest = request.digest;
+    result.inForce.digest = {};
     result.inForce.operation = request.operation;
     return result;
 }
