Process: Spread presets, members and leaving marks between the VMs

Cause: VMs learned of a switch only by reading the row in force.

Change: a library ProcessGrpc turns calls of other VMs into control messages and sends replies of the control thread. A switch is pushed to peers; digests carry version and digest; a text comes from the store or from a peer, and a failed fetch is repeated until the version is applied. The VM list and digests mark targets as leaving, and only a newer incarnation undoes a mark.

--- a/Source/Main/VmProcess.cpp
+++ b/Source/Main/VmProcess.cpp
@@ -13,6 +13,13 @@
 constexpr unsigned ioThreadCount = 2;
 constexpr Duration tickInterval = std::chrono::milliseconds(100);
 
+/** The wall clock grows over restarts of a VM without a disk; Membership corrects a step back. */
+std::uint64_t newIncarnation()
+{
+    const auto time = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 AdminReply errorReply(unsigned status, const Error &error)
 {
     return {status, "application/json", nlohmann::json({{"error", error.toString()}}).dump()};
@@ -30,19 +37,26 @@
 VmProcess::VmProcess(const Settings &settings, EventSink &events)
     : m_settings(settings)
     , m_events(events)
-    , m_platform(settings.platformEndpoint, settings.storeTimeout, m_clock)
+    , m_platform(settings.platformEndpoint, settings.storeTimeout, m_clock,
+                 m_metrics.controlTraffic())
     , m_tables(m_platform)
     , m_objects(m_platform)
     , m_presets(m_tables, m_objects)
+    , m_members(m_tables)
+    , m_vmList(m_platform)
     , m_transport(m_clock, settings.answerLimit)
-    , m_state(m_settings, m_clock, RandomSource::fromSystem(), *this, events, m_metrics)
     , m_io(ioThreadCount)
+    , m_peers({m_settings, m_members, m_vmList, m_io, m_control, events,
+               m_metrics.controlTraffic()})
+    , m_state(m_settings, m_clock, RandomSource::fromSystem(), newIncarnation(), *this, m_peers,
+              events, m_metrics)
 {}
 
 VmProcess::~VmProcess()
 {
     m_listener.reset();
     m_admin.reset();
+    m_peers.stop();
     m_io.stop();
     m_control.stop();
 }
@@ -57,6 +71,7 @@
     TRY_ASSIGN(listener, CallerListener::create(options, *this));
     m_listener = std::move(listener);
     m_control.start(m_state, tickInterval);
+    TRY(m_peers.start());
     // Last, since its answers use everything above.
     TRY_ASSIGN(admin, AdminServer::create(m_settings.adminEndpoint, *this));
     m_admin = std::move(admin);
@@ -198,11 +213,7 @@
 void VmProcess::readPreset(const InForce &inForce)
 {
     m_io.post([this, inForce] {
-        const auto read = [&]() -> Result<std::shared_ptr<const PresetSnapshot>> {
-            TRY_ASSIGN(text, m_presets.readText(inForce.digest));
-            return readSnapshot(inForce.version, text);
-        };
-        m_control.post(PresetRead{inForce, read()});
+        m_control.post(readPresetText(inForce, m_presets.readText(inForce.digest)));
     });
 }
 
@@ -222,6 +233,11 @@
     std::atomic_store(&m_snapshot, std::move(snapshot));
 }
 
+void VmProcess::publishStatus(std::shared_ptr<const FleetStatus> status)
+{
+    std::atomic_store(&m_fleetStatus, std::move(status));
+}
+
 void VmProcess::setReady(bool ready, std::string_view)
 {
     m_ready = ready;
--- a/Source/Main/VmProcess.h
+++ b/Source/Main/VmProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Connection/Http/ConnectionHttp.h"
+#include "Main/PeerGateway.h"
 #include "Process/Http/ProcessHttp.h"
 #include "Process/Io/ProcessIo.h"
 
@@ -56,6 +57,7 @@
     void readPreset(const InForce &inForce) override;
     void runSwitch(const SwitchCommand &command) override;
     void publish(std::shared_ptr<const FleetSnapshot> snapshot) override;
+    void publishStatus(std::shared_ptr<const FleetStatus> status) override;
     void setReady(bool ready, std::string_view why) override;
 
     const Settings m_settings;
@@ -66,16 +68,20 @@
     TableClient m_tables;
     ObjectClient m_objects;
     PresetStoreClient m_presets;
+    MemberClient m_members;
+    VmListClient m_vmList;
     HttpTransport m_transport;
 
     /** Read and written by std::atomic_load and std::atomic_store only. */
     std::shared_ptr<const FleetSnapshot> m_snapshot;
+    std::shared_ptr<const FleetStatus> m_fleetStatus;
     std::atomic<bool> m_ready{false};
     std::atomic<bool> m_stopping{false};
 
-    ControlState m_state;
     ControlThread m_control;
     IoThreads m_io;
+    PeerGateway m_peers;
+    ControlState m_state;
     std::unique_ptr<AdminServer> m_admin;
     std::unique_ptr<CallerListener> m_listener;
 };
--- a/Source/Process/ControlState.cpp
+++ b/Source/Process/ControlState.cpp
@@ -1,5 +1,7 @@
 #include "Process/Process.h"
 
+#include <algorithm>
+
 namespace Sapphireladder {
 
 // One row for each alternative of ControlMessage, in its order.
@@ -10,16 +12,27 @@
         &ControlState::forward<&ControlState::onSwitchCommand, SwitchCommand>,
         &ControlState::forward<&ControlState::onSwitchFinished, SwitchFinished>,
         &ControlState::forward<&ControlState::onStopRequested, StopRequested>,
+        &ControlState::forward<&ControlState::onDigestHeard, DigestHeard>,
+        &ControlState::forward<&ControlState::onPresetPushed, PresetPushed>,
+        &ControlState::forward<&ControlState::onPresetAsked, PresetAsked>,
+        &ControlState::forward<&ControlState::onMembersRead, MembersRead>,
+        &ControlState::forward<&ControlState::onHeartbeatWritten, HeartbeatWritten>,
+        &ControlState::forward<&ControlState::onVmListRead, VmListRead>,
 };
 
 ControlState::ControlState(const Settings &settings, const Clock &clock, RandomSource random,
-                           ControlActions &actions, EventSink &events, Metrics &metrics)
+                           std::uint64_t incarnation, ControlActions &actions,
+                           PeerActions &peerActions, EventSink &events, Metrics &metrics)
     : m_settings(settings)
     , m_clock(clock)
     , m_random(random)
     , m_actions(actions)
     , m_events(events)
     , m_metrics(metrics)
+    , m_fleet(settings, {settings.vm, incarnation, settings.peerEndpoint, settings.zone, 0, false},
+              RandomSource(m_random.below(std::size_t(1) << 62U)), peerActions, events)
+    , m_readiness(settings.isolationLimit, clock.now())
+    , m_peerActions(peerActions)
 {}
 
 void ControlState::handle(const ControlMessage &message)
@@ -30,6 +43,11 @@
 void ControlState::onTick(const Tick &)
 {
     const auto now = m_clock.now();
+    m_fleet.tick(applied(), now);
+    fetchIfDue();
+    updateReadiness();
+    if (now >= m_nextStatus)
+        publishStatus();
     if (now < m_nextPresetRead)
         return;
     // Jitter of 25 % keeps the VMs' reads of one row apart.
@@ -40,21 +58,41 @@
 
 void ControlState::onInForceRead(const InForceRead &message)
 {
+    noteStore(message.row.has_value());
     if (!message.row)
         return;
+    m_readiness.rowRead();
     const auto &inForce = message.row.value().inForce;
     if (inForce.version > 0)
         considerVersion(inForce);
 }
 
-void ControlState::considerVersion(const InForce &inForce)
+void ControlState::noteStore(bool reached)
+{
+    if (reached)
+        m_readiness.storeHeard(m_clock.now());
+    if (reached == m_storeReachable)
+        return;
+    m_storeReachable = reached;
+    m_events.record(reached ? EventId::StoreRecovered : EventId::StoreUnavailable, {});
+}
+
+InForce ControlState::applied() const
+{
+    InForce inForce;
+    if (const auto &current = m_register.current()) {
+        inForce.version = current->version();
+        inForce.digest = current->digest();
+    }
+    return inForce;
+}
+
+void ControlState::considerVersion(const InForce &inForce, const std::optional<Endpoint> &from)
 {
     switch (m_register.judge(inForce.version, inForce.digest)) {
     case VersionVerdict::Newer:
-        if (m_fetching >= inForce.version)
-            return;
-        m_fetching = inForce.version;
-        m_actions.readPreset(inForce);
+        m_fetch.want(inForce, from);
+        fetchIfDue();
         return;
     case VersionVerdict::Older:
         m_metrics.recordOlderVersion();
@@ -73,23 +111,47 @@
     }
 }
 
+void ControlState::fetchIfDue()
+{
+    const auto now = m_clock.now();
+    if (m_fetch.wanted() <= m_register.version())
+        return;
+    const auto step = m_fetch.next(m_register.version(), m_fleet.peers(now), now, m_random);
+    if (!step)
+        return;
+    if (step->peer)
+        m_peerActions.fetchPreset(*step->peer, step->inForce);
+    else
+        m_actions.readPreset(step->inForce);
+}
+
 void ControlState::onPresetRead(const PresetRead &message)
 {
-    if (m_fetching == message.inForce.version)
-        m_fetching = 0;
+    m_fetch.ended(message.inForce.version, message.snapshot.has_value(), m_clock.now(), m_random);
     if (!message.snapshot) {
         m_events.record(EventId::PresetBodyUnavailable,
                         {{"version", std::to_string(message.inForce.version)},
                          {"error", message.snapshot.error().toString()}});
+        fetchIfDue();
         return;
     }
-    if (!m_register.apply(message.snapshot.value()))
+    const auto before = applied().digest;
+    if (!m_register.apply(message.snapshot.value())) {
+        fetchIfDue();
         return;
+    }
+    m_texts[m_register.current()->digest()] = message.text;
+    std::erase_if(m_texts, [&](const auto &it) {
+        return it.first != before && it.first != m_register.current()->digest();
+    });
     m_events.record(EventId::PresetApplied,
                     {{"version", std::to_string(m_register.version())},
                      {"preset", m_register.current()->preset().name.string()}});
     publishSnapshot();
     updateReadiness();
+    publishStatus();
+    m_fleet.hurry();
+    fetchIfDue();
 }
 
 void ControlState::onSwitchCommand(const SwitchCommand &message)
@@ -111,18 +173,112 @@
                      {"preset", result.inForce.preset.string()},
                      {"operation", result.inForce.operation.string()},
                      {"reason", result.reason.message()}});
-    if (result.inForce.version > 0)
-        considerVersion(result.inForce);
+    // A repeated operation that a later switch has replaced names its version without a digest.
+    if (result.inForce.version == 0 || result.inForce.digest.isEmpty())
+        return;
+    considerVersion(result.inForce);
+    if (result.status == SwitchStatus::Accepted)
+        m_fleet.push(result.inForce, m_clock.now());
 }
 
 void ControlState::onStopRequested(const StopRequested &)
 {
     m_stopping = true;
     updateReadiness();
+    m_fleet.stop(applied(), m_clock.now());
+}
+
+void ControlState::onDigestHeard(const DigestHeard &message)
+{
+    m_readiness.peerHeard(m_clock.now());
+    if (m_fleet.hear(message.digest, m_clock.now()))
+        publishSnapshot();
+    const auto &inForce = message.digest.inForce;
+    // A peer that is behind is ordinary during a switch; it learns from the answer.
+    if (inForce.version > 0 && inForce.version >= m_register.version())
+        considerVersion(inForce, message.digest.sender.endpoint);
+    else if (inForce.version > 0)
+        m_metrics.recordOlderVersion();
+    if (message.reply)
+        message.reply(m_fleet.digest(applied()));
+}
+
+void ControlState::onPresetPushed(const PresetPushed &message)
+{
+    m_readiness.peerHeard(m_clock.now());
+    if (message.inForce.version > 0)
+        considerVersion(message.inForce, message.from);
+    message.reply(m_register.version());
+}
+
+void ControlState::onPresetAsked(const PresetAsked &message)
+{
+    const auto it = m_texts.find(message.digest);
+    message.reply(it == m_texts.end() ? nullptr : it->second);
+}
+
+void ControlState::onMembersRead(const MembersRead &message)
+{
+    noteStore(message.members.has_value());
+    if (message.members)
+        m_fleet.hear(message.members.value(), m_clock.now());
+}
+
+void ControlState::onHeartbeatWritten(const HeartbeatWritten &message)
+{
+    noteStore(message.status == WriteStatus::Written);
+}
+
+void ControlState::onVmListRead(const VmListRead &message)
+{
+    if (!message.entries) {
+        m_events.record(EventId::VmListUnavailable, {});
+        return;
+    }
+    bool changed = false;
+    for (const auto &it : message.entries.value()) {
+        const auto target = targetAt(it.service, it.address);
+        if (!target.isEmpty())
+            changed = m_fleet.hear({it.service, target, it.incarnation, it.leaving}) || changed;
+    }
+    if (changed)
+        publishSnapshot();
+}
+
+TargetId ControlState::targetAt(const ServiceName &service, const Endpoint &address) const
+{
+    const auto &current = m_register.current();
+    const auto *policy = current ? current->findService(service.view()) : nullptr;
+    if (!policy)
+        return {};
+    for (const auto &it : policy->targets) {
+        if (it.endpoint == address)
+            return it.id;
+    }
+    return {};
+}
+
+void ControlState::publishStatus()
+{
+    const auto now = m_clock.now();
+    m_nextStatus = now + std::chrono::seconds(1);
+    auto status = std::make_shared<FleetStatus>();
+    status->ready = m_verdict.ready;
+    status->why = m_verdict.why;
+    status->isolated = m_readiness.isIsolated(now);
+    status->storeReachable = m_storeReachable;
+    status->incarnation = m_fleet.self().incarnation;
+    status->heardVersion = std::max(m_fetch.wanted(), m_register.version());
+    status->olderVersions = m_metrics.olderVersions();
+    status->members = m_fleet.alive(now);
+    status->leavingTargets = m_fleet.marks().leavingCount();
+    m_actions.publishStatus(std::move(status));
 }
 
 void ControlState::publishSnapshot()
 {
+    if (!m_register.current())
+        return;
     auto snapshot = std::make_shared<FleetSnapshot>();
     snapshot->preset = m_register.current();
     for (const auto &it : snapshot->preset->preset().services) {
@@ -147,7 +303,10 @@
         auto &load = m_loads[it.endpoint];
         if (!load)
             load = std::make_shared<TargetLoad>();
-        view->targets.push_back({&it, load, {}});
+        const auto mark = m_fleet.marks().find(policy.name, it.id);
+        TargetVerdict verdict;
+        verdict.leaving = mark && mark->leaving;
+        view->targets.push_back({&it, load, verdict});
     }
     view->selector = findRoutingStrategy(policy.routing.strategy)->create();
     return view;
@@ -155,14 +314,19 @@
 
 void ControlState::updateReadiness()
 {
-    const bool ready = m_register.current() && !m_stopping;
-    if (ready == m_ready)
+    ReadinessInputs inputs;
+    inputs.hasPreset = m_register.current() != nullptr;
+    inputs.isBehind = m_fetch.wanted() > m_register.version();
+    inputs.isStopping = m_stopping;
+    const auto verdict = m_readiness.judge(inputs, m_clock.now());
+    const bool changed = verdict.ready != m_verdict.ready || verdict.why != m_verdict.why;
+    m_verdict = verdict;
+    if (!changed)
         return;
-    m_ready = ready;
-    const std::string_view why = m_stopping ? "stopping" : "";
-    m_actions.setReady(ready, why);
-    m_events.record(ready ? EventId::ProcessReady : EventId::ProcessNotReady,
-                    {{"why", std::string(why)}});
+    m_actions.setReady(verdict.ready, verdict.why);
+    m_events.record(verdict.ready ? EventId::ProcessReady : EventId::ProcessNotReady,
+                    {{"why", std::string(verdict.why)}});
+    publishStatus();
 }
 
 } // namespace Sapphireladder
--- a/Source/Process/ControlState.h
+++ b/Source/Process/ControlState.h
@@ -1,8 +1,12 @@
 #pragma once
 
 #include "Process/ControlMessage.h"
+#include "Process/FleetControl.h"
 #include "Process/FleetSnapshot.h"
+#include "Process/FleetStatus.h"
 #include "Process/Metrics.h"
+#include "Process/PresetFetch.h"
+#include "Process/ReadinessRule.h"
 #include "Process/Settings.h"
 
 #include <map>
@@ -23,6 +27,8 @@
     virtual void runSwitch(const SwitchCommand &command) = 0;
     /** Makes a snapshot the one that traffic threads load. */
     virtual void publish(std::shared_ptr<const FleetSnapshot> snapshot) = 0;
+    /** Makes a status the one that operators are shown. */
+    virtual void publishStatus(std::shared_ptr<const FleetStatus> status) = 0;
     /** Tells the platform's balancer whether to send requests here. */
     virtual void setReady(bool ready, std::string_view why) = 0;
 };
@@ -31,9 +37,10 @@
 class ControlState
 {
 public:
-    /** The references outlive the state. */
+    /** The references outlive the state. @param incarnation higher than at earlier starts */
     ControlState(const Settings &settings, const Clock &clock, RandomSource random,
-                 ControlActions &actions, EventSink &events, Metrics &metrics);
+                 std::uint64_t incarnation, ControlActions &actions, PeerActions &peerActions,
+                 EventSink &events, Metrics &metrics);
 
     /** Takes one message. */
     void handle(const ControlMessage &message);
@@ -56,9 +63,26 @@
     void onSwitchCommand(const SwitchCommand &message);
     void onSwitchFinished(const SwitchFinished &message);
     void onStopRequested(const StopRequested &message);
+    void onDigestHeard(const DigestHeard &message);
+    void onPresetPushed(const PresetPushed &message);
+    void onPresetAsked(const PresetAsked &message);
+    void onMembersRead(const MembersRead &message);
+    void onHeartbeatWritten(const HeartbeatWritten &message);
+    void onVmListRead(const VmListRead &message);
 
-    /** Judges a version heard from anywhere, and fetches it if it is newer. */
-    void considerVersion(const InForce &inForce);
+    /**
+     * Judges a version heard from anywhere, and fetches it if it is newer.
+     * @param from peer that told of it; empty for the store
+     */
+    void considerVersion(const InForce &inForce, const std::optional<Endpoint> &from = {});
+    void fetchIfDue();
+    /** Takes how a call to the store ended. */
+    void noteStore(bool reached);
+    /** @return version and digest that this VM applies. */
+    InForce applied() const;
+    void publishStatus();
+    /** @return target of the service at the address, empty if the preset has none. */
+    TargetId targetAt(const ServiceName &service, const Endpoint &address) const;
     void publishSnapshot();
     std::shared_ptr<const ServiceView> viewOf(const ServicePolicy &policy);
     void updateReadiness();
@@ -71,9 +95,16 @@
     Metrics &m_metrics;
 
     PresetRegister m_register;
-    PresetVersion m_fetching = 0;
+    PresetFetch m_fetch;
+    /** Texts of the applied version and of the one before, for peers. */
+    std::map<ContentDigest, std::shared_ptr<const std::string>> m_texts;
+    FleetControl m_fleet;
+    ReadinessRule m_readiness;
+    Readiness m_verdict;
+    PeerActions &m_peerActions;
     TimePoint m_nextPresetRead{};
-    bool m_ready = false;
+    TimePoint m_nextStatus{};
+    bool m_storeReachable = true;
     bool m_stopping = false;
     std::map<ServiceName, std::shared_ptr<ServiceState>> m_services;
     std::map<Endpoint, std::shared_ptr<TargetLoad>> m_loads;
--- /dev/null
+++ b/Source/Process/Grpc/PeerCodec.cpp
@@ -0,0 +1,80 @@
+#include "Process/Grpc/ProcessGrpc.h"
+
+namespace Sapphireladder {
+
+namespace {
+
+void encodeMember(const Member &member, peer::MemberState &message)
+{
+    message.set_vm(member.vm.string());
+    message.set_incarnation(member.incarnation);
+    message.set_peer_endpoint(member.endpoint.toString());
+    message.set_zone(member.zone.string());
+    message.set_heartbeat(member.heartbeat);
+    message.set_stopping(member.stopping);
+}
+
+Result<Member> decodeMember(const peer::MemberState &message)
+{
+    if (message.vm().empty())
+        return makeError(ProcessError::PeerAnswerInvalid, "member without name");
+    const auto endpoint = Endpoint::parse(message.peer_endpoint());
+    if (!endpoint)
+        return makeError(ProcessError::PeerAnswerInvalid, message.peer_endpoint());
+    return Member{VmId(message.vm()),       message.incarnation(), endpoint.value(),
+                  ZoneName(message.zone()), message.heartbeat(),   message.stopping()};
+}
+
+} // namespace
+
+peer::DigestMessage encodeDigest(const Digest &digest)
+{
+    peer::DigestMessage message;
+    encodeMember(digest.sender, *message.mutable_sender());
+    *message.mutable_in_force() = encodeInForceState(digest.inForce);
+    for (const auto &it : digest.members)
+        encodeMember(it, *message.add_members());
+    for (const auto &it : digest.marks) {
+        auto &mark = *message.add_marks();
+        mark.set_service(it.service.string());
+        mark.set_target(it.target.string());
+        mark.set_incarnation(it.incarnation);
+        mark.set_returned(!it.leaving);
+    }
+    return message;
+}
+
+Result<Digest> decodeDigest(const peer::DigestMessage &message)
+{
+    Digest digest;
+    TRY_ASSIGN(sender, decodeMember(message.sender()));
+    digest.sender = std::move(sender);
+    digest.inForce = decodeInForceState(message.in_force());
+    for (const auto &it : message.members()) {
+        TRY_ASSIGN(member, decodeMember(it));
+        digest.members.push_back(std::move(member));
+    }
+    for (const auto &it : message.marks()) {
+        digest.marks.push_back({ServiceName(it.service()), TargetId(it.target()), it.incarnation(),
+                                !it.returned()});
+    }
+    return digest;
+}
+
+peer::InForceState encodeInForceState(const InForce &inForce)
+{
+    peer::InForceState message;
+    message.set_version(inForce.version);
+    message.set_digest(inForce.digest.string());
+    return message;
+}
+
+InForce decodeInForceState(const peer::InForceState &message)
+{
+    InForce inForce;
+    inForce.version = message.version();
+    inForce.digest = ContentDigest(message.digest());
+    return inForce;
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Grpc/PeerCodec.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "Process/Process.h"
+
+#include <Peer.pb.h>
+
+namespace Sapphireladder {
+
+namespace peer = ::sapphireladder::peer;
+
+/** @return the digest as a protocol message. */
+peer::DigestMessage encodeDigest(const Digest &digest);
+
+/** @return the digest, or ProcessError::PeerAnswerInvalid if an address in it cannot be read. */
+Result<Digest> decodeDigest(const peer::DigestMessage &message);
+
+/** @return version and digest as a protocol message. */
+peer::InForceState encodeInForceState(const InForce &inForce);
+
+InForce decodeInForceState(const peer::InForceState &message);
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Grpc/PeerServer.cpp
@@ -0,0 +1,213 @@
+#include "Process/Grpc/ProcessGrpc.h"
+
+#include <Peer.grpc.pb.h>
+
+#include <grpcpp/grpcpp.h>
+
+namespace Sapphireladder {
+
+/** What the calls of one server share. */
+struct PeerServer::Shared
+{
+    ControlPost post;
+    ControlTraffic *traffic = nullptr;
+    peer::Peer::AsyncService service;
+    std::unique_ptr<grpc::ServerCompletionQueue> queue;
+    std::unique_ptr<grpc::Server> server;
+};
+
+namespace {
+
+using Shared = PeerServer::Shared;
+using Service = peer::Peer::AsyncService;
+
+/** One event that the completion queue reports. */
+class QueueEvent
+{
+public:
+    virtual ~QueueEvent() = default;
+    /** @param ok false if the operation was given up because the server stops */
+    virtual void proceed(bool ok) = 0;
+};
+
+/** One call of a peer: waits for it, hands it to the control thread, and sends the reply. */
+template<typename Request, typename Reply>
+class PeerCall final : public QueueEvent
+{
+public:
+    /** Answers the call once. A call whose message was dropped fails. */
+    class Answer
+    {
+    public:
+        explicit Answer(PeerCall &call)
+            : m_call(&call)
+        {}
+        Answer(const Answer &) = delete;
+        Answer &operator=(const Answer &) = delete;
+        ~Answer()
+        {
+            if (m_call)
+                m_call->fail();
+        }
+        void send(const Reply &reply)
+        {
+            if (auto *call = std::exchange(m_call, nullptr))
+                call->send(reply);
+        }
+
+    private:
+        PeerCall *m_call;
+    };
+
+    using AnswerPointer = std::shared_ptr<Answer>;
+    using Accept = void (Service::*)(grpc::ServerContext *, Request *,
+                                     grpc::ServerAsyncResponseWriter<Reply> *,
+                                     grpc::CompletionQueue *, grpc::ServerCompletionQueue *,
+                                     void *);
+    /** Turns the request into a message; nothing if the request is invalid. */
+    using Translate = std::optional<ControlMessage> (*)(const Request &, AnswerPointer);
+
+    static void acceptNext(Shared &shared, Accept accept, Translate translate)
+    {
+        auto *call = new PeerCall(shared, accept, translate);
+        (shared.service.*accept)(&call->m_context, &call->m_request, &call->m_writer,
+                                 shared.queue.get(), shared.queue.get(), call);
+    }
+
+    void proceed(bool ok) override
+    {
+        if (!ok || m_accepted) {
+            delete this;
+            return;
+        }
+        m_accepted = true;
+        acceptNext(m_shared, m_accept, m_translate);
+        m_shared.traffic->add(ControlCounter::PeerMessagesReceived);
+        m_shared.traffic->add(ControlCounter::PeerBytesReceived, m_request.ByteSizeLong());
+        auto message = m_translate(m_request, std::make_shared<Answer>(*this));
+        if (message)
+            m_shared.post(std::move(*message));
+    }
+
+private:
+    PeerCall(Shared &shared, Accept accept, Translate translate)
+        : m_shared(shared)
+        , m_accept(accept)
+        , m_translate(translate)
+        , m_writer(&m_context)
+    {}
+
+    void send(const Reply &reply)
+    {
+        m_shared.traffic->add(ControlCounter::PeerMessagesSent);
+        m_shared.traffic->add(ControlCounter::PeerBytesSent, reply.ByteSizeLong());
+        m_writer.Finish(reply, grpc::Status::OK, this);
+    }
+    void fail()
+    {
+        m_writer.FinishWithError(grpc::Status(grpc::StatusCode::RESOURCE_EXHAUSTED, ""), this);
+    }
+
+    Shared &m_shared;
+    const Accept m_accept;
+    const Translate m_translate;
+    grpc::ServerContext m_context;
+    Request m_request;
+    grpc::ServerAsyncResponseWriter<Reply> m_writer;
+    bool m_accepted = false;
+};
+
+using ExchangeCall = PeerCall<peer::DigestMessage, peer::DigestMessage>;
+using PushCall = PeerCall<peer::PushPresetRequest, peer::PushPresetReply>;
+using FetchCall = PeerCall<peer::FetchPresetRequest, peer::FetchPresetReply>;
+
+std::optional<ControlMessage> translateExchange(const peer::DigestMessage &request,
+                                                ExchangeCall::AnswerPointer answer)
+{
+    auto digest = decodeDigest(request);
+    if (!digest)
+        return std::nullopt;
+    return DigestHeard{std::move(digest.value()), [answer = std::move(answer)](const auto &reply) {
+                           answer->send(encodeDigest(reply));
+                       }};
+}
+
+std::optional<ControlMessage> translatePush(const peer::PushPresetRequest &request,
+                                            PushCall::AnswerPointer answer)
+{
+    const auto from = Endpoint::parse(request.peer_endpoint());
+    if (!from)
+        return std::nullopt;
+    return PresetPushed{decodeInForceState(request.in_force()), from.value(),
+                        [answer = std::move(answer)](PresetVersion applied) {
+                            peer::PushPresetReply reply;
+                            reply.set_applied_version(applied);
+                            answer->send(reply);
+                        }};
+}
+
+std::optional<ControlMessage> translateFetch(const peer::FetchPresetRequest &request,
+                                             FetchCall::AnswerPointer answer)
+{
+    return PresetAsked{ContentDigest(request.digest()),
+                       [answer = std::move(answer)](const auto &text) {
+                           peer::FetchPresetReply reply;
+                           reply.set_found(text != nullptr);
+                           if (text)
+                               reply.set_text(*text);
+                           answer->send(reply);
+                       }};
+}
+
+} // namespace
+
+Result<std::unique_ptr<PeerServer>> PeerServer::create(const Endpoint &endpoint, ControlPost post,
+                                                       ControlTraffic &traffic)
+{
+    std::unique_ptr<PeerServer> server(new PeerServer);
+    auto &shared = *server->m_shared;
+    shared.post = std::move(post);
+    shared.traffic = &traffic;
+    grpc::ServerBuilder builder;
+    // Two processes must not share one address without anybody noticing.
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    int port = 0;
+    builder.AddListeningPort(endpoint.toString(), grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(&shared.service);
+    shared.queue = builder.AddCompletionQueue();
+    shared.server = builder.BuildAndStart();
+    if (!shared.server || port == 0)
+        return makeError(ProcessError::PeerListenFailed, endpoint.toString());
+    ExchangeCall::acceptNext(shared, &Service::RequestExchange, translateExchange);
+    PushCall::acceptNext(shared, &Service::RequestPushPreset, translatePush);
+    FetchCall::acceptNext(shared, &Service::RequestFetchPreset, translateFetch);
+    server->m_thread = std::thread([raw = server.get()] { raw->run(); });
+    return server;
+}
+
+PeerServer::PeerServer()
+    : m_shared(std::make_unique<Shared>())
+{}
+
+PeerServer::~PeerServer()
+{
+    constexpr auto grace = std::chrono::milliseconds(200);
+    if (m_shared->server)
+        m_shared->server->Shutdown(std::chrono::system_clock::now() + grace);
+    if (m_shared->queue)
+        m_shared->queue->Shutdown();
+    if (m_thread.joinable())
+        m_thread.join();
+    else if (m_shared->queue)
+        run();
+}
+
+void PeerServer::run()
+{
+    void *tag = nullptr;
+    bool ok = false;
+    while (m_shared->queue->Next(&tag, &ok))
+        static_cast<QueueEvent *>(tag)->proceed(ok);
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Http/MemberClient.cpp
@@ -0,0 +1,105 @@
+#include "Process/Http/ProcessHttp.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Sapphireladder {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view memberTable = "members";
+
+std::string shardPrefix(unsigned shard)
+{
+    static constexpr std::string_view digits = "0123456789abcdef";
+    static_assert(digits.size() == MemberStore::shardCount);
+    return std::string(1, digits[shard]) + "/";
+}
+
+/** The first digit of a digest of the name spreads the VMs evenly, and is the same everywhere. */
+std::string rowKey(const VmId &vm)
+{
+    return digestOf(vm.view()).string().substr(0, 1) + "/" + vm.string();
+}
+
+std::optional<Member> readMember(const json &object)
+{
+    try {
+        const auto endpoint = Endpoint::parse(object.at("endpoint").get<std::string>());
+        if (!endpoint)
+            return std::nullopt;
+        return Member{VmId(object.at("vm").get<std::string>()),
+                      object.at("incarnation").get<std::uint64_t>(),
+                      endpoint.value(),
+                      ZoneName(object.at("zone").get<std::string>()),
+                      object.at("heartbeat").get<std::uint64_t>(),
+                      object.at("stopping").get<bool>()};
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+/** Gives nothing for an entry that is no target with an IP address and a port. */
+std::optional<VmListEntry> readEntry(const json &object)
+{
+    try {
+        const auto address = Endpoint::parse(object.at("address").get<std::string>());
+        if (!address)
+            return std::nullopt;
+        return VmListEntry{address.value(), ServiceName(object.value("service", "")),
+                           object.value("incarnation", std::uint64_t(0)),
+                           object.at("state").get<std::string>() == "leaving"};
+    } catch (const json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+WriteResult MemberClient::write(const Member &member)
+{
+    const json object = {{"vm", member.vm.string()},
+                         {"incarnation", member.incarnation},
+                         {"endpoint", member.endpoint.toString()},
+                         {"zone", member.zone.string()},
+                         {"heartbeat", member.heartbeat},
+                         {"stopping", member.stopping}};
+    return m_tables.put(memberTable, rowKey(member.vm), object.dump());
+}
+
+Result<std::vector<Member>> MemberClient::readShard(unsigned shard)
+{
+    TRY_ASSIGN(rows, m_tables.list(memberTable, shardPrefix(shard)));
+    std::vector<Member> members;
+    for (const auto &it : rows) {
+        // One row that cannot be read must not hide the others.
+        if (auto member = readMember(json::parse(it.value, nullptr, false)))
+            members.push_back(std::move(*member));
+    }
+    return members;
+}
+
+WriteResult MemberClient::remove(const VmId &vm, std::string_view tag)
+{
+    return m_tables.remove(memberTable, rowKey(vm), tag);
+}
+
+Result<std::vector<VmListEntry>> VmListClient::read()
+{
+    const auto end = m_client.call({"GET", "/vms", {}, {}});
+    const auto *whole = std::get_if<WholeAnswer>(&end);
+    if (!whole || whole->head.getStatus() != Poco::Net::HTTPResponse::HTTP_OK)
+        return makeError(ProcessError::StoreUnavailable, "/vms");
+    const auto array = json::parse(whole->body, nullptr, false);
+    if (!array.is_array())
+        return makeError(ProcessError::StoreAnswerInvalid, "/vms");
+    std::vector<VmListEntry> entries;
+    for (const auto &it : array) {
+        if (auto entry = readEntry(it))
+            entries.push_back(std::move(*entry));
+    }
+    return entries;
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Http/MemberClient.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "Process/Http/PlatformClient.h"
+
+namespace Sapphireladder {
+
+/** Heartbeat rows `members/<shard>/<vm>`, encoded as JSON. */
+class MemberClient final : public MemberStore
+{
+public:
+    /** @param tables outlive the object */
+    explicit MemberClient(TableService &tables)
+        : m_tables(tables)
+    {}
+
+    WriteResult write(const Member &member) override;
+    Result<std::vector<Member>> readShard(unsigned shard) override;
+    WriteResult remove(const VmId &vm, std::string_view tag) override;
+
+private:
+    TableService &m_tables;
+};
+
+/** The platform's VM list over HTTP. */
+class VmListClient final : public VmList
+{
+public:
+    /** @param client outlives the object */
+    explicit VmListClient(PlatformClient &client)
+        : m_client(client)
+    {}
+
+    Result<std::vector<VmListEntry>> read() override;
+
+private:
+    PlatformClient &m_client;
+};
+
+} // namespace Sapphireladder
--- a/Source/Process/Http/PlatformClient.h
+++ b/Source/Process/Http/PlatformClient.h
@@ -23,8 +23,9 @@
     /** Largest answer of the platform in bytes. A preset of 2,400 targets has about 200 KB. */
     static constexpr std::size_t answerLimit = 8 * mebibyte;
 
-    /** @param clock outlives the client */
-    PlatformClient(Endpoint endpoint, Duration timeout, const Clock &clock);
+    /** The references outlive the client. */
+    PlatformClient(Endpoint endpoint, Duration timeout, const Clock &clock,
+                   ControlTraffic &traffic);
 
     /** @return the whole answer, or whether the platform may have run the request. */
     ExchangeEnd call(const PlatformRequest &request);
@@ -33,6 +34,7 @@
     const Endpoint m_endpoint;
     const Duration m_timeout;
     const Clock &m_clock;
+    ControlTraffic &m_traffic;
     ConnectionPool m_pool;
 };
 
--- a/Source/Process/Http/ProcessHttp.h
+++ b/Source/Process/Http/ProcessHttp.h
@@ -4,6 +4,7 @@
 
 #include "Process/Http/AdminServer.h"
 #include "Process/Http/AdminService.h"
+#include "Process/Http/MemberClient.h"
 #include "Process/Http/PlatformClient.h"
 #include "Process/Http/PresetStoreClient.h"
 #include "Process/Http/RowCodec.h"
--- a/Source/Process/Metrics.cpp
+++ b/Source/Process/Metrics.cpp
@@ -101,6 +101,11 @@
     writeCounter(out, "sapphireladder_older_versions_total",
                  "Preset versions heard of that are lower than the one applied.",
                  m_olderVersions.load(std::memory_order_relaxed));
+    for (std::size_t i = 0; i < static_cast<std::size_t>(ControlCounter::Count); ++i) {
+        const auto counter = static_cast<ControlCounter>(i);
+        writeCounter(out, nameOf(counter), "Control traffic of this process.",
+                     m_controlTraffic.value(counter));
+    }
     out << "# HELP sapphireladder_latency_seconds Time from arrival to answer.\n"
         << "# TYPE sapphireladder_latency_seconds summary\n";
     for (const double it : {0.5, 0.99, 0.999}) {
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Process/ControlTraffic.h"
 #include "Request/Request.h"
 
 #include <array>
@@ -58,6 +59,10 @@
     /** Counts a version lower than the one applied that arrived from the store or a peer. */
     void recordOlderVersion() { m_olderVersions.fetch_add(1, std::memory_order_relaxed); }
 
+    std::uint64_t olderVersions() const { return m_olderVersions.load(std::memory_order_relaxed); }
+    /** @return counters of the process's own calls to the platform and to other VMs. */
+    ControlTraffic &controlTraffic() { return m_controlTraffic; }
+
     /** @return the counters in the text exposition format of Prometheus, version 0.0.4. */
     std::string toText() const;
 
@@ -73,6 +78,7 @@
     ReasonCounters<RetryReason> m_retries;
     ReasonCounters<RetryDenial> m_denials;
     LatencyHistogram m_latency;
+    ControlTraffic m_controlTraffic;
 };
 
 } // namespace Sapphireladder
--- a/Source/Process/ProcessError.cpp
+++ b/Source/Process/ProcessError.cpp
@@ -12,6 +12,8 @@
             {ProcessError::Stopping, "the process is stopping"},
             {ProcessError::PeerUnavailable, "the peer cannot be reached"},
             {ProcessError::AdminUnavailable, "the VM's admin endpoint cannot be reached"},
+            {ProcessError::PeerAnswerInvalid, "the peer sent an invalid message"},
+            {ProcessError::PeerListenFailed, "address for peers cannot be listened on"},
             {ProcessError::AdminAnswerInvalid, "the VM's admin endpoint gave an invalid answer"},
     };
     static const TableErrorCategory<ProcessError> category("process", texts);
--- a/Source/Process/ProcessError.h
+++ b/Source/Process/ProcessError.h
@@ -14,6 +14,8 @@
     PeerUnavailable,
     AdminUnavailable,
     AdminAnswerInvalid,
+    PeerAnswerInvalid,
+    PeerListenFailed,
 };
 
 std::error_code make_error_code(ProcessError error);
