--- a/Tests/Process/ClaimRowCodecTest.cpp
+++ b/Tests/Process/ClaimRowCodecTest.cpp
@@ -61,7 +61,8 @@
 {
     Testbed::Platform platform{{"127.0.0.1", 0}};
     SteadyClock clock;
-    PlatformClient client{platform.endpoint(), 10s, clock};
+    ControlTraffic traffic;
+    PlatformClient client{platform.endpoint(), 10s, clock, traffic};
     TableClient tables{client};
     ClaimStoreClient store{tables};
 };
