Request: Tell unknown if an earlier attempt may have run

Cause: found while reading. An idempotent request whose first attempt timed out and whose second was shed was told "not run", although the first may have run it. Change: once an attempt ended as unknown, a later refusal is told as that unknown. Before: the new test failed; after: it passes.

--- a/Source/Request/RequestExecutor.cpp
+++ b/Source/Request/RequestExecutor.cpp
@@ -30,6 +30,9 @@
     m_ports.tokens.recordFirstAttempt();
     RequestClaim claim(m_ports.claims, info, m_ports.clock);
     auto outcome = runAttempts(info, headers, body, claim);
+    // An earlier attempt may have run the request, so that "not run" would not be true.
+    if (m_mayHaveRun && std::holds_alternative<Refusal>(outcome))
+        outcome = *m_mayHaveRun;
     claim.settle(outcome);
     return outcome;
 }
@@ -66,6 +69,8 @@
     auto result = m_ports.transport.attempt(request);
     result.latency = m_ports.clock.now() - start;
     m_ports.gate.release(lease, result);
+    if (const auto *unknown = std::get_if<Unknown>(&result.end))
+        m_mayHaveRun = *unknown;
     return result;
 }
 
--- a/Source/Request/RequestExecutor.h
+++ b/Source/Request/RequestExecutor.h
@@ -4,6 +4,7 @@
 #include "Request/RequestPorts.h"
 #include "Request/RetryDecision.h"
 
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -48,6 +49,8 @@
     RequestPorts m_ports;
     const ServicePolicy &m_policy;
     unsigned m_attempts = 0;
+    /** Set once an attempt ended without proof that the target did not run the request. */
+    std::optional<Unknown> m_mayHaveRun;
     std::vector<TargetId> m_tried;
 };
 
--- a/Tests/Request/RequestClaimTest.cpp
+++ b/Tests/Request/RequestClaimTest.cpp
@@ -313,4 +313,14 @@
     CHECK(store.calls == Calls{"insert"});
 }
 
+// Guards against "not run" for a request whose first attempt timed out and may have run.
+TEST_CASE_FIXTURE(RequestClaimFixture, "executor, with an unknown before a shed, tells unknown")
+{
+    info.idempotent = true;
+    attemptEnds = {Unknown{UnknownReason::AnswerTimeout}, NotRun{RetryReason::Shed},
+                   NotRun{RetryReason::ConnectFailed}};
+    CHECK(runUnknown() == UnknownReason::AnswerTimeout);
+    CHECK(attempts == 3);
+}
+
 TEST_SUITE_END();
