Process: Queue requests by class and refuse hopeless ones

Waiting requests were woken in any order, classes made no difference, a request queued for an answer that could not come in time, and it learnt of a view without usable targets at its deadline only.

AdmissionControl now takes these decisions without threads: two lines in first-in order, urgent first with the deferrable share of the contended grants and of the places kept back, DeadlineUnreachable from the slots and service times of the usable targets, and a new decision for each waiting request when a view arrives. ServiceGate adds the lock and one condition variable for each waiting thread, so that a slot goes to the request it was decided for. An outdated estimate cannot refuse for good: with nothing in flight one request goes out.

TargetLoad takes a rejection or fault as a report of a full target, and a draining mark takes effect there at once. What attempts say of their targets goes to the control thread through a bounded queue that drops and counts.

--- a/Source/Process/ControlState.cpp
+++ b/Source/Process/ControlState.cpp
@@ -29,6 +29,9 @@
 
 void ControlState::onTick(const Tick &)
 {
+    // FIXME: The observations are not judged yet, only kept from filling the queue.
+    m_observations->drain();
+    m_metrics.setDroppedObservations(m_observations->dropped());
     const auto now = m_clock.now();
     if (now < m_nextPresetRead)
         return;
@@ -129,7 +132,8 @@
         auto &state = m_services[it.name];
         if (!state) {
             const auto seed = m_random.below(std::size_t(1) << 62U);
-            state = std::make_shared<ServiceState>(m_settings.zone, m_clock, seed, it.retry);
+            state = std::make_shared<ServiceState>(m_settings.zone, m_clock, seed, it.retry,
+                                                   m_observations);
         }
         state->budget.setPolicy(it.retry);
         state->gate.publish(viewOf(it));
--- a/Source/Process/ControlState.h
+++ b/Source/Process/ControlState.h
@@ -77,6 +77,7 @@
     bool m_stopping = false;
     std::map<ServiceName, std::shared_ptr<ServiceState>> m_services;
     std::map<Endpoint, std::shared_ptr<TargetLoad>> m_loads;
+    std::shared_ptr<ObservationQueue> m_observations = std::make_shared<ObservationQueue>();
 };
 
 } // namespace Sapphireladder
--- a/Source/Process/FleetSnapshot.h
+++ b/Source/Process/FleetSnapshot.h
@@ -14,8 +14,8 @@
 struct ServiceState
 {
     ServiceState(const ZoneName &zone, const Clock &clock, std::uint64_t seed,
-                 const RetryPolicy &retry)
-        : gate(zone, clock, seed)
+                 const RetryPolicy &retry, std::shared_ptr<ObservationQueue> observations)
+        : gate(zone, clock, seed, std::move(observations))
         , budget(retry)
     {}
 
--- a/Source/Process/Metrics.cpp
+++ b/Source/Process/Metrics.cpp
@@ -101,6 +101,9 @@
     writeCounter(out, "sapphireladder_older_versions_total",
                  "Preset versions heard of that are lower than the one applied.",
                  m_olderVersions.load(std::memory_order_relaxed));
+    writeCounter(out, "sapphireladder_observations_dropped_total",
+                 "Observations of targets dropped since the control thread was late.",
+                 m_droppedObservations.load(std::memory_order_relaxed));
     out << "# HELP sapphireladder_latency_seconds Time from arrival to answer.\n"
         << "# TYPE sapphireladder_latency_seconds summary\n";
     for (const double it : {0.5, 0.99, 0.999}) {
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -58,6 +58,12 @@
     /** Counts a version lower than the one applied that arrived from the store or a peer. */
     void recordOlderVersion() { m_olderVersions.fetch_add(1, std::memory_order_relaxed); }
 
+    /** Takes over how many observations of targets were dropped so far. */
+    void setDroppedObservations(std::uint64_t n)
+    {
+        m_droppedObservations.store(n, std::memory_order_relaxed);
+    }
+
     /** @return the counters in the text exposition format of Prometheus, version 0.0.4. */
     std::string toText() const;
 
@@ -68,6 +74,7 @@
 private:
     std::atomic<std::uint64_t> m_answered{0};
     std::atomic<std::uint64_t> m_olderVersions{0};
+    std::atomic<std::uint64_t> m_droppedObservations{0};
     ReasonCounters<RefusalReason> m_refusals;
     ReasonCounters<UnknownReason> m_unknowns;
     ReasonCounters<RetryReason> m_retries;
--- a/Source/Process/ServiceGate.h
+++ b/Source/Process/ServiceGate.h
@@ -1,15 +1,17 @@
 #pragma once
 
-#include "Process/ServiceView.h"
-#include "Request/Request.h"
+#include "Process/AdmissionControl.h"
+#include "Process/ObservationQueue.h"
 
-#include <condition_variable>
 #include <memory>
 #include <mutex>
 
 namespace Sapphireladder {
 
-/** Admits the requests of one service to its targets. Lives as long as the process. */
+/**
+ * Admits the requests of one service to its targets. Lives as long as the process. Adds the lock
+ * and the waiting to the decisions of AdmissionControl.
+ */
 class ServiceGate final : public TargetGate
 {
 public:
@@ -17,8 +19,10 @@
      * @param zone availability zone of this VM
      * @param clock outlives the gate
      * @param seed seed for the choice of targets
+     * @param observations receives what attempts say of their targets
      */
-    ServiceGate(ZoneName zone, const Clock &clock, std::uint64_t seed);
+    ServiceGate(ZoneName zone, const Clock &clock, std::uint64_t seed,
+                std::shared_ptr<ObservationQueue> observations);
 
     /** Replaces the view, and lets waiting requests look at the new one. */
     void publish(std::shared_ptr<const ServiceView> view);
@@ -27,18 +31,14 @@
                                                      std::span<const TargetId> tried) override;
     void release(const TargetLease &lease, const AttemptResult &result) override;
 
-private:
-    std::optional<TargetLease> tryAcquire(std::span<const TargetId> tried);
-    std::vector<TargetCandidate> candidates(std::span<const TargetId> tried) const;
+    /** @return requests that wait for a slot. */
+    std::size_t waiting();
 
-    const ZoneName m_zone;
+private:
     const Clock &m_clock;
-
+    const std::shared_ptr<ObservationQueue> m_observations;
     std::mutex m_mutex;
-    std::condition_variable m_changed;
-    std::shared_ptr<const ServiceView> m_view;
-    RandomSource m_random;
-    std::size_t m_waiting = 0;
+    AdmissionControl m_control;
 };
 
 } // namespace Sapphireladder
--- a/Source/Process/ServiceView.h
+++ b/Source/Process/ServiceView.h
@@ -8,6 +8,9 @@
 
 namespace Sapphireladder {
 
+/** Number of a target's life. Each restart has a higher one; 0 is a life of unknown number. */
+using Incarnation = std::uint64_t;
+
 /** What the control thread holds of a target at the time of a view. */
 struct TargetVerdict
 {
@@ -17,6 +20,7 @@
     double rampWeight = 1.0;
 
     bool isUsable() const { return !leaving && !ejected; }
+    friend bool operator==(const TargetVerdict &, const TargetVerdict &) = default;
 };
 
 /** One target of a service in one view. */
@@ -25,6 +29,11 @@
     const TargetSpec *spec = nullptr;
     std::shared_ptr<TargetLoad> load;
     TargetVerdict verdict;
+
+    /** A draining mark counts before the control thread has turned it into a verdict. */
+    bool isUsable() const { return verdict.isUsable() && !load->isDraining(); }
+    /** @return requests that this VM may have in flight at the target. */
+    unsigned usableSlots() const { return rampedSlots(spec->slots, verdict.rampWeight); }
 };
 
 /** One service in one version of the control state. Immutable but for the loads. */
--- a/Source/Process/TargetLoad.cpp
+++ b/Source/Process/TargetLoad.cpp
@@ -1,5 +1,7 @@
 #include "Process/Process.h"
 
+#include <algorithm>
+
 namespace Sapphireladder {
 
 void TargetLoad::begin()
@@ -8,22 +10,38 @@
     m_ownSinceReport.fetch_add(1, std::memory_order_relaxed);
 }
 
-void TargetLoad::end(const AttemptResult &result, TimePoint now)
+void TargetLoad::end(const AttemptResult &result, unsigned slots, TimePoint now)
 {
     m_ownInFlight.fetch_sub(1, std::memory_order_relaxed);
     m_ownSinceReport.fetch_sub(1, std::memory_order_relaxed);
-    if (result.load) {
-        m_reportedInFlight.store(result.load->inFlight, std::memory_order_relaxed);
-        m_ownSinceReport.store(0, std::memory_order_relaxed);
-        m_reportedAt.store(now.time_since_epoch().count(), std::memory_order_relaxed);
-    }
-    if (std::holds_alternative<Answered>(result.end)) {
-        // An eighth of each new value follows shifts within a few answers.
-        const auto old = m_serviceTime.load(std::memory_order_relaxed);
-        const auto latency = result.latency.count();
-        m_serviceTime.store(old == 0 ? latency : old + (latency - old) / 8,
-                            std::memory_order_relaxed);
-    }
+    if (result.draining)
+        m_draining.store(true, std::memory_order_relaxed);
+    const auto outcome = observedOutcomeOf(result);
+    if (outcome == ObservedOutcome::Rejected || outcome == ObservedOutcome::Fault)
+        recordReport(std::max(slots, result.load ? result.load->inFlight : 0), now);
+    else if (result.load)
+        recordReport(result.load->inFlight, now);
+    recordLatency(result);
+}
+
+void TargetLoad::recordReport(unsigned inFlight, TimePoint now)
+{
+    m_reportedInFlight.store(inFlight, std::memory_order_relaxed);
+    m_ownSinceReport.store(0, std::memory_order_relaxed);
+    m_reportedAt.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+void TargetLoad::recordLatency(const AttemptResult &result)
+{
+    const auto old = m_serviceTime.load(std::memory_order_relaxed);
+    const auto latency = result.latency.count();
+    const auto *unknown = std::get_if<Unknown>(&result.end);
+    // The service time of a request that timed out is at least the time it was given.
+    const bool isLowerBound = unknown && unknown->reason == UnknownReason::AnswerTimeout;
+    if (observedOutcomeOf(result) != ObservedOutcome::Good && !(isLowerBound && latency > old))
+        return;
+    // An eighth of each new value follows shifts within a few answers.
+    m_serviceTime.store(old == 0 ? latency : old + (latency - old) / 8, std::memory_order_relaxed);
 }
 
 void TargetLoad::describe(TargetCandidate &candidate, TimePoint now) const
@@ -31,7 +49,7 @@
     candidate.ownInFlight = ownInFlight();
     candidate.reportedInFlight = m_reportedInFlight.load(std::memory_order_relaxed);
     candidate.ownSinceReport = m_ownSinceReport.load(std::memory_order_relaxed);
-    candidate.serviceTime = Duration(m_serviceTime.load(std::memory_order_relaxed));
+    candidate.serviceTime = serviceTime();
     const auto reportedAt = m_reportedAt.load(std::memory_order_relaxed);
     if (reportedAt != noReport)
         candidate.reportAge = now.time_since_epoch() - Duration(reportedAt);
