Process: Judge targets by what attempts and marks say of them

Verdicts were always "usable", so a failing or leaving target went on getting its share of the requests.

TargetSupervisor, used by the control thread alone, turns observations and leaving marks into verdicts; ControlState feeds it on each tick and publishes the views of services whose verdicts have changed. A mark whose observation was dropped is found in the load. Loads and verdicts belong to a service and a target's name and outlive a preset switch.

--- a/Source/Process/ControlState.cpp
+++ b/Source/Process/ControlState.cpp
@@ -20,6 +20,7 @@
     , m_actions(actions)
     , m_events(events)
     , m_metrics(metrics)
+    , m_supervisor(events)
 {}
 
 void ControlState::handle(const ControlMessage &message)
@@ -29,9 +30,7 @@
 
 void ControlState::onTick(const Tick &)
 {
-    // FIXME: The observations are not judged yet, only kept from filling the queue.
-    m_observations->drain();
-    m_metrics.setDroppedObservations(m_observations->dropped());
+    superviseTargets();
     const auto now = m_clock.now();
     if (now < m_nextPresetRead)
         return;
@@ -128,6 +127,8 @@
 {
     auto snapshot = std::make_shared<FleetSnapshot>();
     snapshot->preset = m_register.current();
+    m_supervisor.setPreset(snapshot->preset->preset(), m_clock.now());
+    m_supervisor.update(m_clock.now());
     for (const auto &it : snapshot->preset->preset().services) {
         auto &state = m_services[it.name];
         if (!state) {
@@ -147,16 +148,41 @@
     auto view = std::make_shared<ServiceView>();
     view->preset = m_register.current();
     view->policy = &policy;
-    for (const auto &it : policy.targets) {
-        auto &load = m_loads[it.endpoint];
-        if (!load)
-            load = std::make_shared<TargetLoad>();
-        view->targets.push_back({&it, load, {}});
-    }
+    view->targets = m_supervisor.views(policy);
     view->selector = findRoutingStrategy(policy.routing.strategy)->create();
     return view;
 }
 
+void ControlState::superviseTargets()
+{
+    for (const auto &it : m_observations->drain())
+        m_supervisor.observe(it, m_clock.now());
+    m_metrics.setDroppedObservations(m_observations->dropped());
+    publishChangedViews();
+}
+
+void ControlState::publishChangedViews()
+{
+    for (const auto &it : m_supervisor.update(m_clock.now())) {
+        const auto *policy = m_register.current()->findService(it.view());
+        m_services.at(it)->gate.publish(viewOf(*policy));
+    }
+}
+
+void ControlState::markLeaving(const ServiceName &service, const TargetId &target,
+                               Incarnation incarnation)
+{
+    m_supervisor.markLeaving(service, target, incarnation);
+    publishChangedViews();
+}
+
+void ControlState::markLive(const ServiceName &service, const TargetId &target,
+                            Incarnation incarnation)
+{
+    m_supervisor.markLive(service, target, incarnation, m_clock.now());
+    publishChangedViews();
+}
+
 void ControlState::updateReadiness()
 {
     const bool ready = m_register.current() && !m_stopping;
--- a/Source/Process/ControlState.h
+++ b/Source/Process/ControlState.h
@@ -4,6 +4,7 @@
 #include "Process/FleetSnapshot.h"
 #include "Process/Metrics.h"
 #include "Process/Settings.h"
+#include "Process/TargetSupervisor.h"
 
 #include <map>
 #include <memory>
@@ -40,6 +41,11 @@
 
     PresetVersion version() const { return m_register.version(); }
 
+    /** Notes a leaving target. @see TargetSupervisor::markLeaving */
+    void markLeaving(const ServiceName &service, const TargetId &target, Incarnation incarnation);
+    /** Notes a live target. @see TargetSupervisor::markLive */
+    void markLive(const ServiceName &service, const TargetId &target, Incarnation incarnation);
+
 private:
     using Handler = void (ControlState::*)(const ControlMessage &message);
     static const Handler handlers[std::variant_size_v<ControlMessage>];
@@ -60,6 +66,9 @@
     /** Judges a version heard from anywhere, and fetches it if it is newer. */
     void considerVersion(const InForce &inForce);
     void publishSnapshot();
+    /** Takes in observations and publishes the views of services whose verdicts have changed. */
+    void superviseTargets();
+    void publishChangedViews();
     std::shared_ptr<const ServiceView> viewOf(const ServicePolicy &policy);
     void updateReadiness();
 
@@ -76,8 +85,8 @@
     bool m_ready = false;
     bool m_stopping = false;
     std::map<ServiceName, std::shared_ptr<ServiceState>> m_services;
-    std::map<Endpoint, std::shared_ptr<TargetLoad>> m_loads;
     std::shared_ptr<ObservationQueue> m_observations = std::make_shared<ObservationQueue>();
+    TargetSupervisor m_supervisor;
 };
 
 } // namespace Sapphireladder
--- /dev/null
+++ b/Tests/Process/AdmissionControlTest.cpp
@@ -0,0 +1,227 @@
+#include "Process/ServiceFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <thread>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Process");
+
+struct AdmissionControlFixture : ServiceFixture
+{
+    void start(unsigned targets, unsigned slots)
+    {
+        addTargets(targets, slots);
+        switchPreset();
+    }
+};
+
+// Guards against more requests at a target than it has slots.
+TEST_CASE_FIXTURE(AdmissionControlFixture, "gate, all slots taken, lets the next request wait")
+{
+    start(2, 2);
+    for (int i = 0; i < 4; ++i)
+        CHECK(arrive().lease());
+    for (const auto &it : view->targets)
+        CHECK(it.load->ownInFlight() == 2);
+    CHECK_FALSE(arrive().pending.decision());
+}
+
+TEST_CASE_FIXTURE(AdmissionControlFixture, "gate, both classes wait, grants urgent ones in order")
+{
+    start(1, 1);
+    const auto &holder = arrive();
+    const auto &deferrable = arrive(RequestClass::Deferrable);
+    const auto &first = arrive();
+    const auto &second = arrive();
+    finish(holder);
+    REQUIRE(first.lease());
+    CHECK_FALSE(second.pending.decision());
+    finish(first);
+    REQUIRE(second.lease());
+    CHECK_FALSE(deferrable.pending.decision());
+    finish(second);
+    CHECK(deferrable.lease());
+}
+
+// Guards against overnight ledger pulls that never finish under a constant urgent load.
+TEST_CASE_FIXTURE(AdmissionControlFixture, "gate, urgent ones always wait, keeps deferrable share")
+{
+    start(1, 1);
+    arrive();
+    for (int i = 0; i < 20; ++i)
+        arrive(RequestClass::Deferrable);
+    unsigned granted = 0;
+    // The first request found its slot free, so 100 contended grants follow it.
+    for (std::size_t i = 0; i < 101; ++i) {
+        arrive();
+        const auto holder = std::find_if(requests.begin(), requests.end(),
+                                         [](const auto &it) { return it->lease() != nullptr; });
+        REQUIRE(holder != requests.end());
+        granted += (*holder)->info.requestClass == RequestClass::Deferrable;
+        finish(**holder);
+        requests.erase(holder);
+    }
+    CHECK(granted == 10);
+}
+
+// Guards against a queue full of deferrable requests that turns urgent ones away, and the reverse.
+TEST_CASE_FIXTURE(AdmissionControlFixture, "gate, full queue, keeps places for both classes")
+{
+    policy().queue.capacity = 4;
+    start(1, 1);
+    arrive();
+    for (int i = 0; i < 4; ++i)
+        CHECK_FALSE(arrive(RequestClass::Deferrable).pending.decision());
+    for (int i = 0; i < 3; ++i)
+        CHECK_FALSE(arrive().pending.decision());
+    CHECK(arrive().isRefused(RefusalReason::QueueFull));
+    CHECK(arrive(RequestClass::Deferrable).isRefused(RefusalReason::QueueFull));
+    CHECK_FALSE(requests[1]->pending.decision());
+    CHECK(requests[2]->isRefused(RefusalReason::QueueFull));
+    CHECK(gate.waiting() == 4);
+}
+
+// Guards against work for requests whose callers will have given up.
+TEST_CASE_FIXTURE(AdmissionControlFixture, "gate, wait and service beyond the deadline, refuses")
+{
+    start(1, 1);
+    finish(arrive(), answered(100ms));
+    arrive();
+    CHECK_FALSE(arrive().pending.decision());
+    CHECK(arrive(RequestClass::Urgent, 290ms).isRefused(RefusalReason::DeadlineUnreachable));
+    CHECK_FALSE(arrive(RequestClass::Urgent, 310ms).pending.decision());
+}
+
+// Guards against an outdated service time that refuses every request for good.
+TEST_CASE_FIXTURE(AdmissionControlFixture, "gate, slow estimate and nothing in flight, sends one")
+{
+    start(2, 1);
+    finish(arrive(), answered(1h));
+    CHECK(arrive().lease());
+    CHECK(arrive().isRefused(RefusalReason::DeadlineUnreachable));
+}
+
+TEST_CASE_FIXTURE(AdmissionControlFixture, "gate, deadline comes in the queue, refuses")
+{
+    start(1, 1);
+    const auto &holder = arrive(RequestClass::Urgent, 10s);
+    auto &expired = arrive(RequestClass::Urgent, 50ms);
+    auto &late = arrive(RequestClass::Urgent, 50ms);
+    clock.advance(60ms);
+    gate.expire(expired.pending);
+    CHECK(expired.isRefused(RefusalReason::QueueTimeout));
+    finish(holder);
+    CHECK(late.isRefused(RefusalReason::QueueTimeout));
+}
+
+// Guards against requests that wait until their deadline for targets that are gone.
+TEST_CASE_FIXTURE(AdmissionControlFixture, "gate, waiting while all targets leave, refuses")
+{
+    start(1, 1);
+    arrive();
+    const auto &waiting = arrive();
+    supervisor.markLeaving(policy().name, TargetId("t1"), 1);
+    CHECK(tick());
+    CHECK(waiting.isRefused(RefusalReason::NoUsableTarget));
+}
+
+// Guards against new work for a target in the time until the control thread's next tick.
+TEST_CASE_FIXTURE(AdmissionControlFixture, "gate, draining mark in an answer, avoids it at once")
+{
+    start(2, 4);
+    auto mark = answered();
+    mark.draining = true;
+    const auto &marked = arrive();
+    const auto leaving = marked.target();
+    finish(marked, mark);
+    for (int i = 0; i < 4; ++i) {
+        const auto target = arrive().target();
+        CHECK(target != "");
+        CHECK(target != leaving);
+    }
+}
+
+// Guards against a rejecting target that looks idle and so attracts every request.
+TEST_CASE("TargetLoad, rejection without a report, counts as a full target")
+{
+    TargetLoad load;
+    load.begin();
+    load.end({NotRun{RetryReason::Shed}, std::nullopt, false, 1ms}, 6, TimePoint(1s));
+    TargetCandidate candidate;
+    load.describe(candidate, TimePoint(1s));
+    CHECK(candidate.reportedInFlight == 6);
+    CHECK(candidate.serviceTime == 0ms);
+}
+
+struct ServiceGateFixture : ServiceFixture
+{
+    ServiceGateFixture()
+    {
+        addTargets(1, 1);
+        switchPreset();
+        blocking.publish(view);
+        info.deadline = steady.now() + 60s;
+    }
+    ~ServiceGateFixture()
+    {
+        if (waiter.joinable())
+            waiter.join();
+    }
+
+    /** Starts a request on another thread and returns when it waits. */
+    void startWaiter()
+    {
+        waiter = std::thread([this] { result = blocking.acquire(info, {}); });
+        for (int i = 0; i < 30000 && blocking.waiting() == 0; ++i)
+            std::this_thread::sleep_for(1ms);
+        REQUIRE(blocking.waiting() == 1);
+    }
+
+    SteadyClock steady;
+    std::shared_ptr<ObservationQueue> observations = std::make_shared<ObservationQueue>(1);
+    ServiceGate blocking{ZoneName("a"), steady, 7, observations};
+    RequestInfo info;
+    AdmissionResult result = RefusalReason::Count;
+    std::thread waiter;
+};
+
+TEST_CASE_FIXTURE(ServiceGateFixture, "ServiceGate, slot released, wakes the waiting thread")
+{
+    const auto held = std::get<TargetLease>(blocking.acquire(info, {}));
+    startWaiter();
+    blocking.release(held, answered());
+    waiter.join();
+    CHECK(std::holds_alternative<TargetLease>(result));
+}
+
+TEST_CASE_FIXTURE(ServiceGateFixture, "ServiceGate, view without usable target, wakes the thread")
+{
+    blocking.acquire(info, {});
+    startWaiter();
+    auto unusable = std::make_shared<ServiceView>(*view);
+    unusable->targets[0].verdict.leaving = true;
+    blocking.publish(unusable);
+    waiter.join();
+    CHECK(std::get<RefusalReason>(result) == RefusalReason::NoUsableTarget);
+}
+
+TEST_CASE_FIXTURE(ServiceGateFixture, "ServiceGate, deadline passes, refuses with queue-timeout")
+{
+    blocking.acquire(info, {});
+    info.deadline = steady.now() + 20ms;
+    CHECK(std::get<RefusalReason>(blocking.acquire(info, {})) == RefusalReason::QueueTimeout);
+}
+
+// Guards against a late control thread that blocks traffic or lets memory grow.
+TEST_CASE_FIXTURE(ServiceGateFixture, "ObservationQueue, full, drops and counts")
+{
+    for (int i = 0; i < 3; ++i)
+        blocking.release(std::get<TargetLease>(blocking.acquire(info, {})), answered());
+    CHECK(observations->drain().size() == 1);
+    CHECK(observations->dropped() == 2);
+}
+
+TEST_SUITE_END();
