Tests: Record a session of decisions as a golden file

A change of a decision that no focused test covers passed unseen.

The session drives gate, supervisor and retry decision on a manual clock with a fixed seed: both classes, a refused deadline, a shed, a late answer, a drain, a preset switch, and a flapping target that is ejected and ramped. SAPPHIRELADDER_REWRITE_GOLDEN=1 rewrites the transcript.

--- /dev/null
+++ b/Tests/Golden/DecisionSessionTest.cpp
@@ -0,0 +1,164 @@
+#include "Process/ServiceFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iomanip>
+#include <sstream>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Golden");
+
+/** Writes down each decision of a session that runs on a manual clock with a fixed seed. */
+struct DecisionSessionFixture : ServiceFixture
+{
+    std::ostream &line()
+    {
+        return transcript << std::setw(6) << toMilliseconds(clock.now().time_since_epoch()) << " ";
+    }
+
+    Request &send(RequestClass requestClass = RequestClass::Urgent,
+                  Duration timeout = defaultTimeout)
+    {
+        auto &request = arrive(requestClass, timeout);
+        request.info.id = RequestId("r" + std::to_string(requests.size()));
+        line() << request.info.id << " arrives "
+               << (requestClass == RequestClass::Urgent ? "urgent" : "deferrable") << ": "
+               << decisionOf(request) << '\n';
+        return request;
+    }
+
+    void end(const Request &request, std::string_view text, const AttemptResult &result)
+    {
+        line() << request.info.id << " ends at " << request.target() << ": " << text << '\n';
+        finish(request, result);
+        const auto failure = failureOf(result);
+        if (!failure)
+            return;
+        const auto retry = decideRetry(
+                *failure, {request.info, policy().retry, 1, clock.now(), 10ms}, budget);
+        line() << request.info.id
+               << " retry: " << std::visit([](auto reason) { return nameOf(reason); }, retry)
+               << '\n';
+    }
+
+    void show(const Request &request)
+    {
+        line() << request.info.id << " now: " << decisionOf(request) << '\n';
+    }
+
+    void step(Duration duration)
+    {
+        clock.advance(duration);
+        tick();
+        note();
+    }
+
+    /** Writes the events since the last note, and the verdicts in force. */
+    void note()
+    {
+        for (const auto &it : events)
+            line() << "event " << it << '\n';
+        events.clear();
+        line() << "verdicts";
+        for (const auto &it : view->targets) {
+            transcript << ' ' << it.spec->id << '=';
+            if (!it.verdict.isUsable())
+                transcript << (it.verdict.leaving ? "leaving" : "ejected");
+            else
+                transcript << it.verdict.rampWeight;
+        }
+        transcript << '\n';
+    }
+
+    static std::string decisionOf(const Request &request)
+    {
+        if (!request.pending.decision())
+            return "waits";
+        if (request.lease())
+            return "goes to " + request.target();
+        return "refused "
+               + std::string(nameOf(std::get<RefusalReason>(*request.pending.decision())));
+    }
+
+    /** Compares the transcript with the committed file, or rewrites the file if asked to. */
+    void compareWith(const std::string &file)
+    {
+        const auto path = std::string(SOURCE_FOLDER "/Tests/Golden/") + file;
+        if (std::getenv("SAPPHIRELADDER_REWRITE_GOLDEN"))
+            std::ofstream(path) << transcript.str();
+        std::ostringstream committed;
+        committed << std::ifstream(path).rdbuf();
+        CHECK(transcript.str() == committed.str());
+    }
+
+    RetryBudget budget{RetryPolicy{}};
+    std::ostringstream transcript;
+};
+
+// Guards against a change of any decision that no focused test covers.
+TEST_CASE_FIXTURE(DecisionSessionFixture, "decisions, session with faults, match the transcript")
+{
+    addTargets(3, 1);
+    switchPreset();
+    note();
+    const auto &first = send();
+    const auto &second = send();
+    const auto &third = send();
+    const auto &deferrable = send(RequestClass::Deferrable);
+    const auto &urgent = send();
+    clock.advance(20ms);
+    end(first, "answered", answered(20ms));
+    show(urgent);
+    send(RequestClass::Urgent, 5ms);
+    end(second, "shed", {NotRun{RetryReason::Shed}, LoadReport{1, 1}, false, 1ms});
+    show(deferrable);
+    end(urgent, "answered", answered(15ms));
+
+    // The caller gives up on a request; the late answer of its target is that of an earlier life.
+    const auto held = third.target();
+    supervisor.markLive(policy().name, TargetId(held), 1, clock.now());
+    supervisor.markLive(policy().name, TargetId(held), 2, clock.now());
+    step(2s);
+    auto late = answered(2s);
+    late.draining = true;
+    end(third, "late answer with a draining mark", late);
+    step(100ms);
+
+    auto mark = answered(10ms);
+    mark.draining = true;
+    end(deferrable, "answered with a draining mark", mark);
+    send();
+    step(100ms);
+    supervisor.markLive(policy().name, TargetId(deferrable.target()), 1, clock.now());
+    step(100ms);
+
+    addTargets(2, 2);
+    switchPreset();
+    line() << "preset switch\n";
+    note();
+
+    // A flapping target: its faults come back after each ejection.
+    const auto flapping = static_cast<std::size_t>(
+            std::find_if(view->targets.begin(), view->targets.end(),
+                         [](const auto &it) { return it.verdict.isUsable(); })
+            - view->targets.begin());
+    for (int i = 0; i < 2; ++i) {
+        observe(flapping, ObservedOutcome::Fault, 5);
+        step(100ms);
+        for (int n = 0; n < 4; ++n)
+            step(1s);
+    }
+    for (int i = 0; i < 6; ++i) {
+        const auto &request = send();
+        if (request.lease())
+            end(request, "reset", {Unknown{UnknownReason::ConnectionReset}, {}, false, 1ms});
+        step(3s);
+    }
+    compareWith("decisions.txt");
+}
+
+TEST_SUITE_END();
