--- a/Source/Main/VmProcess.cpp
+++ b/Source/Main/VmProcess.cpp
@@ -34,6 +34,7 @@
     , m_tables(m_platform)
     , m_objects(m_platform)
     , m_presets(m_tables, m_objects)
+    , m_claims(m_tables)
     , m_transport(m_clock, settings.answerLimit)
     , m_state(m_settings, m_clock, RandomSource::fromSystem(), *this, events, m_metrics)
     , m_io(ioThreadCount)
@@ -49,8 +50,6 @@
 
 Result<> VmProcess::start()
 {
-    TRY_ASSIGN(admin, AdminServer::create(m_settings.adminEndpoint, *this));
-    m_admin = std::move(admin);
     ListenerOptions options;
     options.endpoint = m_settings.callerEndpoint;
     options.trafficThreads = m_settings.trafficThreads;
@@ -59,6 +58,9 @@
     TRY_ASSIGN(listener, CallerListener::create(options, *this));
     m_listener = std::move(listener);
     m_control.start(m_state, tickInterval);
+    // Last, since its answers use everything above.
+    TRY_ASSIGN(admin, AdminServer::create(m_settings.adminEndpoint, *this));
+    m_admin = std::move(admin);
     m_events.record(EventId::ProcessStarted, {{"vm", m_settings.vm.string()},
                                               {"zone", m_settings.zone.string()},
                                               {"callers", m_settings.callerEndpoint.toString()}});
@@ -91,8 +93,11 @@
     if (it == current->services.end())
         return Refusal{RefusalReason::UnknownService};
     auto &service = *it->second;
-    RequestExecutor executor({service.gate, m_transport, service.budget, m_metrics, m_clock},
-                             policy);
+    // A source for each thread, so that making a claim id takes no lock.
+    thread_local auto claimIds = RandomSource::fromSystem();
+    const ClaimPorts claims{m_claims, claimIds, m_settings.vm};
+    RequestExecutor executor(
+            {service.gate, m_transport, service.budget, m_metrics, m_clock, &claims}, policy);
     return executor.run(info, headers, body);
 }
 
--- a/Source/Process/AdmissionControl.cpp
+++ b/Source/Process/AdmissionControl.cpp
@@ -61,6 +61,13 @@
     return {std::move(view), lease.index, observedOutcomeOf(result), result.draining, result.load};
 }
 
+void AdmissionControl::cancel(const TargetLease &lease, TimePoint now)
+{
+    const auto view = std::static_pointer_cast<const ServiceView>(lease.owner);
+    view->targets[lease.index].load->cancel();
+    dispatch(now);
+}
+
 void AdmissionControl::dispatch(TimePoint now)
 {
     if (!hasUsableTarget()) {
--- a/Source/Process/AdmissionControl.h
+++ b/Source/Process/AdmissionControl.h
@@ -32,6 +32,9 @@
     /** Gives a slot back and hands it on. @return what the attempt says of the target. */
     TargetObservation release(const TargetLease &lease, const AttemptResult &result, TimePoint now);
 
+    /** Gives a slot back that no attempt used, and hands it on. */
+    void cancel(const TargetLease &lease, TimePoint now);
+
     std::size_t waiting() const { return m_queue.size(); }
 
 private:
--- a/Source/Process/ServiceGate.cpp
+++ b/Source/Process/ServiceGate.cpp
@@ -59,6 +59,12 @@
     m_observations->push(std::move(observation));
 }
 
+void ServiceGate::cancel(const TargetLease &lease)
+{
+    const std::lock_guard lock(m_mutex);
+    m_control.cancel(lease, m_clock.now());
+}
+
 std::size_t ServiceGate::waiting()
 {
     const std::lock_guard lock(m_mutex);
--- a/Source/Process/ServiceGate.h
+++ b/Source/Process/ServiceGate.h
@@ -30,6 +30,7 @@
     std::variant<TargetLease, RefusalReason> acquire(const RequestInfo &info,
                                                      std::span<const TargetId> tried) override;
     void release(const TargetLease &lease, const AttemptResult &result) override;
+    void cancel(const TargetLease &lease) override;
 
     /** @return requests that wait for a slot. */
     std::size_t waiting();
--- a/Source/Process/TargetLoad.cpp
+++ b/Source/Process/TargetLoad.cpp
@@ -44,6 +44,12 @@
     m_serviceTime.store(old == 0 ? latency : old + (latency - old) / 8, std::memory_order_relaxed);
 }
 
+void TargetLoad::cancel()
+{
+    m_ownInFlight.fetch_sub(1, std::memory_order_relaxed);
+    m_ownSinceReport.fetch_sub(1, std::memory_order_relaxed);
+}
+
 void TargetLoad::describe(TargetCandidate &candidate, TimePoint now) const
 {
     candidate.ownInFlight = ownInFlight();
--- a/Source/Process/TargetLoad.h
+++ b/Source/Process/TargetLoad.h
@@ -24,6 +24,9 @@
      */
     void end(const AttemptResult &result, unsigned slots, TimePoint now);
 
+    /** Takes back a begin() whose request was not sent. */
+    void cancel();
+
     unsigned ownInFlight() const { return m_ownInFlight.load(std::memory_order_relaxed); }
     /** @return moving average of the time to an answer, or zero before the first answer. */
     Duration serviceTime() const { return Duration(m_serviceTime.load(std::memory_order_relaxed)); }
--- a/Tests/Process/AdmissionControlTest.cpp
+++ b/Tests/Process/AdmissionControlTest.cpp
@@ -197,6 +197,16 @@
     CHECK(std::holds_alternative<TargetLease>(result));
 }
 
+// Guards against a slot that a refused claim keeps for good.
+TEST_CASE_FIXTURE(ServiceGateFixture, "ServiceGate, slot cancelled, wakes the waiting thread")
+{
+    const auto held = std::get<TargetLease>(blocking.acquire(info, {}));
+    startWaiter();
+    blocking.cancel(held);
+    waiter.join();
+    CHECK(std::holds_alternative<TargetLease>(result));
+}
+
 TEST_CASE_FIXTURE(ServiceGateFixture, "ServiceGate, view without usable target, wakes the thread")
 {
     blocking.acquire(info, {});
--- a/Tests/Process/BoundsPropertyTest.cpp
+++ b/Tests/Process/BoundsPropertyTest.cpp
@@ -84,6 +84,7 @@
         return TargetLease{&target, 0, nullptr};
     }
     void release(const TargetLease &, const AttemptResult &) override {}
+    void cancel(const TargetLease &) override {}
     AttemptResult attempt(const AttemptRequest &request) override
     {
         ++attempts;
