--- a/Source/Process/ControlState.cpp
+++ b/Source/Process/ControlState.cpp
@@ -33,6 +33,7 @@
               RandomSource(m_random.below(std::size_t(1) << 62U)), peerActions, events)
     , m_readiness(settings.isolationLimit, clock.now())
     , m_peerActions(peerActions)
+    , m_supervisor(events)
 {}
 
 void ControlState::handle(const ControlMessage &message)
@@ -42,6 +43,7 @@
 
 void ControlState::onTick(const Tick &)
 {
+    superviseTargets();
     const auto now = m_clock.now();
     m_fleet.tick(applied(), now);
     fetchIfDue();
@@ -191,8 +193,11 @@
 void ControlState::onDigestHeard(const DigestHeard &message)
 {
     m_readiness.peerHeard(m_clock.now());
-    if (m_fleet.hear(message.digest, m_clock.now()))
-        publishSnapshot();
+    if (m_fleet.hear(message.digest, m_clock.now())) {
+        for (const auto &it : message.digest.marks)
+            applyMark(it.service, it.target);
+        publishChangedViews();
+    }
     const auto &inForce = message.digest.inForce;
     // A peer that is behind is ordinary during a switch; it learns from the answer.
     if (inForce.version > 0 && inForce.version >= m_register.version())
@@ -235,14 +240,14 @@
         m_events.record(EventId::VmListUnavailable, {});
         return;
     }
-    bool changed = false;
     for (const auto &it : message.entries.value()) {
         const auto target = targetAt(it.service, it.address);
-        if (!target.isEmpty())
-            changed = m_fleet.hear({it.service, target, it.incarnation, it.leaving}) || changed;
+        if (target.isEmpty())
+            continue;
+        m_fleet.hear({it.service, target, it.incarnation, it.leaving});
+        applyMark(it.service, target);
     }
-    if (changed)
-        publishSnapshot();
+    publishChangedViews();
 }
 
 TargetId ControlState::targetAt(const ServiceName &service, const Endpoint &address) const
@@ -281,11 +286,14 @@
         return;
     auto snapshot = std::make_shared<FleetSnapshot>();
     snapshot->preset = m_register.current();
+    m_supervisor.setPreset(snapshot->preset->preset(), m_clock.now());
+    m_supervisor.update(m_clock.now());
     for (const auto &it : snapshot->preset->preset().services) {
         auto &state = m_services[it.name];
         if (!state) {
             const auto seed = m_random.below(std::size_t(1) << 62U);
-            state = std::make_shared<ServiceState>(m_settings.zone, m_clock, seed, it.retry);
+            state = std::make_shared<ServiceState>(m_settings.zone, m_clock, seed, it.retry,
+                                                   m_observations);
         }
         state->budget.setPolicy(it.retry);
         state->gate.publish(viewOf(it));
@@ -299,19 +307,49 @@
     auto view = std::make_shared<ServiceView>();
     view->preset = m_register.current();
     view->policy = &policy;
-    for (const auto &it : policy.targets) {
-        auto &load = m_loads[it.endpoint];
-        if (!load)
-            load = std::make_shared<TargetLoad>();
-        const auto mark = m_fleet.marks().find(policy.name, it.id);
-        TargetVerdict verdict;
-        verdict.leaving = mark && mark->leaving;
-        view->targets.push_back({&it, load, verdict});
-    }
+    view->targets = m_supervisor.views(policy);
     view->selector = findRoutingStrategy(policy.routing.strategy)->create();
     return view;
 }
 
+void ControlState::superviseTargets()
+{
+    for (const auto &it : m_observations->drain()) {
+        m_supervisor.observe(it, m_clock.now());
+        if (it.draining)
+            tellDraining(it.service(), it.target().spec->id);
+    }
+    m_metrics.setDroppedObservations(m_observations->dropped());
+    publishChangedViews();
+}
+
+void ControlState::tellDraining(const ServiceName &service, const TargetId &target)
+{
+    const auto known = m_fleet.marks().find(service, target);
+    m_fleet.hear(TargetMark{service, target, known ? known->incarnation : 0, true});
+}
+
+void ControlState::applyMark(const ServiceName &service, const TargetId &target)
+{
+    const auto mark = m_fleet.marks().find(service, target);
+    if (!mark)
+        return;
+    if (mark->leaving)
+        m_supervisor.markLeaving(service, target, mark->incarnation);
+    else
+        m_supervisor.markLive(service, target, mark->incarnation, m_clock.now());
+}
+
+void ControlState::publishChangedViews()
+{
+    if (!m_register.current())
+        return;
+    for (const auto &it : m_supervisor.update(m_clock.now())) {
+        if (const auto *policy = m_register.current()->findService(it.view()))
+            m_services.at(it)->gate.publish(viewOf(*policy));
+    }
+}
+
 void ControlState::updateReadiness()
 {
     ReadinessInputs inputs;
--- a/Source/Process/ControlState.h
+++ b/Source/Process/ControlState.h
@@ -8,6 +8,7 @@
 #include "Process/PresetFetch.h"
 #include "Process/ReadinessRule.h"
 #include "Process/Settings.h"
+#include "Process/TargetSupervisor.h"
 
 #include <map>
 #include <memory>
@@ -84,6 +85,14 @@
     /** @return target of the service at the address, empty if the preset has none. */
     TargetId targetAt(const ServiceName &service, const Endpoint &address) const;
     void publishSnapshot();
+    /** Takes in what the traffic threads saw of targets. */
+    void superviseTargets();
+    /** Notes for the peers that a target said that it is leaving. */
+    void tellDraining(const ServiceName &service, const TargetId &target);
+    /** Hands what marks say of a target to the supervisor. */
+    void applyMark(const ServiceName &service, const TargetId &target);
+    /** Publishes the views of services whose verdicts have changed. */
+    void publishChangedViews();
     std::shared_ptr<const ServiceView> viewOf(const ServicePolicy &policy);
     void updateReadiness();
 
@@ -107,7 +116,8 @@
     bool m_storeReachable = true;
     bool m_stopping = false;
     std::map<ServiceName, std::shared_ptr<ServiceState>> m_services;
-    std::map<Endpoint, std::shared_ptr<TargetLoad>> m_loads;
+    std::shared_ptr<ObservationQueue> m_observations = std::make_shared<ObservationQueue>();
+    TargetSupervisor m_supervisor;
 };
 
 } // namespace Sapphireladder
--- a/Source/Process/Metrics.cpp
+++ b/Source/Process/Metrics.cpp
@@ -106,6 +106,9 @@
         writeCounter(out, nameOf(counter), "Control traffic of this process.",
                      m_controlTraffic.value(counter));
     }
+    writeCounter(out, "sapphireladder_observations_dropped_total",
+                 "Observations of targets dropped since the control thread was late.",
+                 m_droppedObservations.load(std::memory_order_relaxed));
     out << "# HELP sapphireladder_latency_seconds Time from arrival to answer.\n"
         << "# TYPE sapphireladder_latency_seconds summary\n";
     for (const double it : {0.5, 0.99, 0.999}) {
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -62,6 +62,11 @@
     std::uint64_t olderVersions() const { return m_olderVersions.load(std::memory_order_relaxed); }
     /** @return counters of the process's own calls to the platform and to other VMs. */
     ControlTraffic &controlTraffic() { return m_controlTraffic; }
+    /** Takes over how many observations of targets were dropped so far. */
+    void setDroppedObservations(std::uint64_t n)
+    {
+        m_droppedObservations.store(n, std::memory_order_relaxed);
+    }
 
     /** @return the counters in the text exposition format of Prometheus, version 0.0.4. */
     std::string toText() const;
@@ -73,6 +78,7 @@
 private:
     std::atomic<std::uint64_t> m_answered{0};
     std::atomic<std::uint64_t> m_olderVersions{0};
+    std::atomic<std::uint64_t> m_droppedObservations{0};
     ReasonCounters<RefusalReason> m_refusals;
     ReasonCounters<UnknownReason> m_unknowns;
     ReasonCounters<RetryReason> m_retries;
