Scenarios: Send keyed requests under all faults

Real processes: four VMs, three targets and a platform. Keys go to two VMs at once and are repeated later, some with another body. Meanwhile VMs are killed and paused beyond the age of their claims, the store is down, loses answers and delays writes beyond the store timeout, and targets reset after the first byte of an answer or shed. The targets' own count of runs decides.

--- /dev/null
+++ b/Tests/Scenarios/AtMostOnceTest.cpp
@@ -0,0 +1,293 @@
+#include "Scenarios/Fleet.h"
+
+#include "Request/Http/RequestHttp.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <mutex>
+#include <thread>
+
+using namespace Sapphireladder;
+using namespace Sapphireladder::Scenarios;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** What the callers were told of one key, over all sends. */
+struct KeyRecord
+{
+    unsigned answered = 0;
+    unsigned refused = 0;
+    unsigned unknown = 0;
+    /** The connection failed or ended without an answer. */
+    unsigned cut = 0;
+    bool bodiesDiffer = false;
+    std::string body;
+};
+
+std::string headerOf(const Answer &answer, std::string_view name)
+{
+    for (const auto &it : answer.headers) {
+        if (it.name == name)
+            return it.value;
+    }
+    return {};
+}
+
+/** @return requests to send; SAPPHIRELADDER_AT_MOST_ONCE_REQUESTS sets another number. */
+std::size_t requestCount()
+{
+    const char *text = std::getenv("SAPPHIRELADDER_AT_MOST_ONCE_REQUESTS");
+    return text ? std::strtoull(text, nullptr, 10) : 5000;
+}
+
+FleetOptions fleetOptions()
+{
+    FleetOptions options;
+    options.vmCount = 4;
+    options.targetCount = 3;
+    options.slots = 16;
+    options.serviceTime = "1ms";
+    // Shorter than the writes that the test delays, so that these land after their holder gave up.
+    options.extraSettings = "store_timeout: 200ms\ntraffic_threads: 64\n";
+    return options;
+}
+
+} // namespace
+
+TEST_SUITE_BEGIN("Scenarios");
+
+struct AtMostOnceFixture
+{
+    AtMostOnceFixture()
+        : fleet(fleetOptions())
+    {
+        REQUIRE(fleet.switchTo("ordinary").exitCode == 0);
+        for (std::size_t i = 0; i < fleet.vmCount(); ++i)
+            REQUIRE(Fleet::eventually([&] { return fleet.versionOf(i) == 1; }));
+    }
+
+    /** Sends requests until all are sent and every fault has happened once. */
+    void runCallers()
+    {
+        while (true) {
+            const auto n = nextSend.fetch_add(1);
+            if (n >= requestCount() && faultRounds > 0)
+                return;
+            sendOne(n);
+        }
+    }
+
+    /**
+     * Of each 1,000 sends, 700 send 350 keys to two VMs at once, 200 repeat keys later, one in ten
+     * of these with another body, and 100 have no key.
+     */
+    void sendOne(std::size_t n)
+    {
+        const auto round = n / 1000;
+        const auto i = n % 1000;
+        const auto vmIndex = (n * 7 + n / 4) % fleet.vmCount();
+        CallerRequest request{"POST", "/credits", {}, "amount=1", "botolchin"};
+        // Longer than a pause, so that a paused VM meets the age of its claim before the deadline.
+        request.headers.push_back({std::string(timeoutHeader), "10000"});
+        if (i >= 900) {
+            const auto id = "solo-" + std::to_string(n);
+            request.headers.push_back({std::string(requestIdHeader), id});
+            return note(id, fleet.call(vmIndex, request));
+        }
+        const auto index = i < 700 ? i / 2 : i - 700;
+        if (i >= 700 && i % 10 == 0)
+            request.body = "amount=2";
+        const auto key = "key-" + std::to_string(round) + "-" + std::to_string(index);
+        request.headers.push_back({std::string(idempotencyKeyHeader), key});
+        note(key, fleet.call(vmIndex, request));
+    }
+
+    void note(const std::string &key, const std::optional<Answer> &answer)
+    {
+        const std::lock_guard lock(mutex);
+        auto &record = records[key];
+        ++sends;
+        if (!answer) {
+            ++record.cut;
+            ++told["no answer"];
+            return;
+        }
+        const auto outcome = headerOf(*answer, outcomeHeader);
+        ++told[outcome + " " + headerOf(*answer, reasonHeader)];
+        if (outcome == "not-run") {
+            ++record.refused;
+        } else if (outcome == "unknown") {
+            ++record.unknown;
+        } else {
+            record.bodiesDiffer |= record.answered > 0 && record.body != answer->body;
+            record.body = answer->body;
+            ++record.answered;
+        }
+    }
+
+    /** @return body of the answer of a stand-in's test page. */
+    static std::string callStandin(const Endpoint &endpoint, const std::string &method,
+                                   const std::string &path, const std::string &body = {})
+    {
+        const auto deadline = SteadyClock().now() + 30s;
+        auto session = UpstreamSession::create(endpoint, deadline);
+        REQUIRE(session);
+        Poco::Net::HTTPRequest message(method, path, Poco::Net::HTTPMessage::HTTP_1_1);
+        auto end = exchange(*session.value(), message, body, 256 * mebibyte, deadline);
+        const auto *whole = std::get_if<WholeAnswer>(&end);
+        REQUIRE(whole);
+        REQUIRE(whole->head.getStatus() == 200);
+        return whole->body;
+    }
+
+    void setStoreFault(const std::string &fields, Duration duration)
+    {
+        callStandin(fleet.platformEndpoint(), "POST", "/faults", fields);
+        std::this_thread::sleep_for(duration);
+    }
+
+    void endStoreFaults()
+    {
+        setStoreFault(R"({"down": "false", "delayed_writes": "0ms", "lose_answers": "0"})", 0ms);
+    }
+
+    void setTargets(const std::string &fields, Duration duration)
+    {
+        for (std::size_t i = 0; i < 3; ++i)
+            callStandin(fleet.targetEndpoint(i), "POST", "/behaviour", fields);
+        std::this_thread::sleep_for(duration);
+    }
+
+    void killVm(std::size_t index)
+    {
+        fleet.vm(index).signal(SIGKILL);
+        fleet.vm(index).wait();
+        std::this_thread::sleep_for(100ms);
+        fleet.restartVm(index);
+        ++kills;
+    }
+
+    /** Longer than a claim may be old when its request is sent. */
+    void pauseVm(std::size_t index)
+    {
+        fleet.vm(index).signal(SIGSTOP);
+        std::this_thread::sleep_for(claimMaxAge + 500ms);
+        fleet.vm(index).signal(SIGCONT);
+        ++pauses;
+    }
+
+    void runFaults()
+    {
+        const auto n = fleet.vmCount();
+        while (faultRounds == 0 || nextSend < requestCount()) {
+            const auto i = faultRounds % n;
+            std::this_thread::sleep_for(300ms);
+            setTargets(R"({"answer": "reset", "answer_share": "0.3"})", 500ms);
+            killVm(i);
+            setTargets(R"({"answer": "whole", "answer_share": "1"})", 0ms);
+            setStoreFault(R"({"lose_answers": "0.3", "only_path": "/tables/claims"})", 300ms);
+            pauseVm((i + 1) % n);
+            killVm((i + 2) % n);
+            endStoreFaults();
+            setStoreFault(R"({"delayed_writes": "300ms"})", 700ms);
+            endStoreFaults();
+            setStoreFault(R"({"down": "close"})", 300ms);
+            setStoreFault(R"({"down": "refuse"})", 300ms);
+            endStoreFaults();
+            setTargets(R"({"reject": "marked"})", 200ms);
+            setTargets(R"({"reject": "none"})", 0ms);
+            ++faultRounds;
+        }
+    }
+
+    /** Ends every VM after its requests in flight, so that no later run can be missed. */
+    void drain()
+    {
+        for (std::size_t i = 0; i < fleet.vmCount(); ++i)
+            fleet.vm(i).signal(SIGTERM);
+        for (std::size_t i = 0; i < fleet.vmCount(); ++i)
+            CHECK(fleet.vm(i).wait() == 0);
+        for (std::size_t i = 0; i < 3; ++i) {
+            CHECK(Fleet::eventually([&] {
+                const auto text = callStandin(fleet.targetEndpoint(i), "GET", "/load");
+                return nlohmann::json::parse(text).at("inflight") == 0;
+            }));
+        }
+    }
+
+    std::map<std::string, std::uint64_t> collectRuns() const
+    {
+        std::map<std::string, std::uint64_t> runs;
+        for (std::size_t i = 0; i < 3; ++i) {
+            const auto text = callStandin(fleet.targetEndpoint(i), "GET", "/runs");
+            const auto object = nlohmann::json::parse(text);
+            for (const auto &[key, count] : object.items())
+                runs[key] += count.get<std::uint64_t>();
+        }
+        return runs;
+    }
+
+    Fleet fleet;
+    std::atomic<std::size_t> nextSend{0};
+    std::atomic<unsigned> faultRounds{0};
+    unsigned kills = 0;
+    unsigned pauses = 0;
+    std::mutex mutex;
+    std::size_t sends = 0;
+    std::map<std::string, KeyRecord> records;
+    std::map<std::string, std::size_t> told;
+};
+
+// Guards against a second run of a request, and against "not run" for one that ran, while VMs are
+// killed and paused, the store fails or loses answers, and targets reset connections.
+TEST_CASE_FIXTURE(AtMostOnceFixture, "keyed requests, under all faults, run at most once")
+{
+    constexpr std::size_t callerCount = 24;
+    std::vector<std::thread> callers;
+    callers.reserve(callerCount);
+    for (std::size_t i = 0; i < callerCount; ++i)
+        callers.emplace_back([this] { runCallers(); });
+    runFaults();
+    for (auto &it : callers)
+        it.join();
+    drain();
+    const auto runs = collectRuns();
+
+    std::size_t doubled = 0;
+    std::size_t ranThoughNotRun = 0;
+    std::size_t answeredWithoutRun = 0;
+    std::size_t bodiesDiffer = 0;
+    std::size_t replayed = 0;
+    for (const auto &[key, record] : records) {
+        const auto it = runs.find(key);
+        const auto count = it == runs.end() ? 0 : it->second;
+        doubled += count > 1;
+        ranThoughNotRun += count > 0 && record.answered + record.unknown + record.cut == 0;
+        answeredWithoutRun += count == 0 && record.answered > 0;
+        bodiesDiffer += record.bodiesDiffer;
+        replayed += record.answered > 1;
+    }
+    CHECK(doubled == 0);
+    CHECK(ranThoughNotRun == 0);
+    CHECK(answeredWithoutRun == 0);
+    CHECK(bodiesDiffer == 0);
+    CHECK(replayed > 0);
+    CHECK(told["unknown connection-reset"] > 0);
+    CHECK(told["unknown already-accepted"] > 0);
+    CHECK(told["not-run claim-store-unavailable"] > 0);
+    CHECK(told["not-run key-reused"] > 0);
+    CHECK(told["not-run target-shed"] > 0);
+    std::ostringstream text;
+    for (const auto &[name, count] : told)
+        text << "; " << name << ' ' << count;
+    MESSAGE("requests ", sends, ", keys ", records.size(), ", runs ", runs.size(),
+            ", keys answered more than once ", replayed, ", fault rounds ", faultRounds.load(),
+            ", kills ", kills, ", pauses ", pauses, text.str());
+}
+
+TEST_SUITE_END();
