Testbed: Write the load tool and the demo

Nothing could put load on a fleet or check its answers. The load tool sends at a rate or from a number of callers, counts latency from the intended start, sends duplicates of keyed requests through another endpoint, and checks each answer by request id and checksum. Every request is counted in exactly one of answered, refused and unknown; wrong answers are counted on top.

--- /dev/null
+++ b/Tests/Testbed/Demo.cpp
@@ -0,0 +1,134 @@
+#include "Testbed/Testbed.h"
+
+#include "Main/AdminClient.h"
+#include "Main/VmProcess.h"
+
+#include <deque>
+#include <ostream>
+#include <sstream>
+#include <thread>
+
+namespace Sapphireladder::Testbed {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr unsigned targetCount = 3;
+const std::string presetName = "ordinary";
+const std::string requestId = "demo-request";
+
+/** The demo prints its own steps. */
+class QuietEvents final : public EventSink
+{
+public:
+    using EventSink::record;
+    void record(EventId, std::span<const EventField>) override {}
+};
+
+/** @return a loopback address with a port that is free now. */
+Endpoint freeEndpoint()
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return {"127.0.0.1", socket.address().port()};
+}
+
+std::string presetText(const std::deque<Target> &targets)
+{
+    std::ostringstream text;
+    text << "name: " << presetName << "\nservices:\n  - name: botolchin\n    targets:\n";
+    unsigned number = 0;
+    for (const auto &it : targets) {
+        text << "      - { id: botolchin-" << ++number << ", endpoint: \""
+             << it.endpoint().toString() << "\", zone: kolkata-dc, slots: 6 }\n";
+    }
+    return text.str();
+}
+
+/** Calls the VM's admin endpoint. @return the body, or DemoFailed for any status but 200. */
+Result<std::string> callVm(const Endpoint &admin, const AdminRequest &request)
+{
+    TRY_ASSIGN(answer, callAdmin(admin, request));
+    if (answer.status != 200)
+        return makeError(TestbedError::DemoFailed, request.path + ": " + answer.body);
+    return std::move(answer.body);
+}
+
+Result<> waitForPreset(const Endpoint &admin)
+{
+    const auto deadline = SteadyClock().now() + 30s;
+    while (SteadyClock().now() < deadline) {
+        TRY_ASSIGN(text, callVm(admin, {"GET", "/status", {}}));
+        const auto status = nlohmann::json::parse(text, nullptr, false);
+        if (status.is_object() && status.value("preset", "") == presetName)
+            return success();
+        std::this_thread::sleep_for(20ms);
+    }
+    return makeError(TestbedError::DemoFailed, "the VM does not apply the preset");
+}
+
+Result<> switchPreset(const Endpoint &admin, std::string_view text, std::ostream &out)
+{
+    TRY_ASSIGN(stored, callVm(admin, {"PUT", "/presets/" + presetName, text}));
+    out << "stored preset " << presetName << ": " << stored << '\n';
+    const nlohmann::json request = {
+            {"preset", presetName},
+            {"operation", RandomSource::fromSystem().hexDigits()},
+            {"author", "demo"},
+    };
+    TRY_ASSIGN(switched, callVm(admin, {"POST", "/preset/in-force", request.dump()}));
+    out << "switched: " << switched << '\n';
+    return waitForPreset(admin);
+}
+
+Result<> sendRequest(const Endpoint &callers, std::ostream &out)
+{
+    const auto deadline = SteadyClock().now() + 30s;
+    TRY_ASSIGN(session, UpstreamSession::create(callers, deadline));
+    Poco::Net::HTTPRequest message("GET", "/codes/4711", Poco::Net::HTTPMessage::HTTP_1_1);
+    message.setHost("botolchin");
+    message.set(requestIdHeader, requestId);
+    out << "request: GET /codes/4711 to botolchin through " << callers.toString() << '\n';
+    const auto end = exchange(*session, message, {}, mebibyte, deadline);
+    const auto *whole = std::get_if<WholeAnswer>(&end);
+    if (!whole)
+        return makeError(TestbedError::DemoFailed, "no whole answer");
+    out << "answer: " << whole->head.getStatus() << '\n';
+    for (const auto &[name, value] : whole->head)
+        out << name << ": " << value << '\n';
+    out << '\n' << whole->body;
+    if (checkAnswerBody(whole->body, requestId) != BodyCheck::Whole)
+        return makeError(TestbedError::DemoFailed, "the answer is not the request's own");
+    return success();
+}
+
+} // namespace
+
+Result<> runDemo(std::ostream &out)
+{
+    const Platform platform(Endpoint{"127.0.0.1", 0});
+    std::deque<Target> targets;
+    for (unsigned i = 0; i < targetCount; ++i) {
+        TargetOptions options;
+        options.endpoint = {"127.0.0.1", 0};
+        options.name = "botolchin-" + std::to_string(i + 1);
+        targets.emplace_back(options);
+    }
+    Settings settings;
+    settings.vm = VmId("vm-demo");
+    settings.zone = ZoneName("kolkata-dc");
+    settings.callerEndpoint = freeEndpoint();
+    settings.adminEndpoint = freeEndpoint();
+    settings.peerEndpoint = freeEndpoint();
+    settings.platformEndpoint = platform.endpoint();
+    settings.lameduck = Duration::zero();
+    QuietEvents events;
+    TRY_ASSIGN(vm, VmProcess::create(settings, events));
+    out << "started a platform, " << targetCount << " targets and one VM\n";
+    TRY(switchPreset(settings.adminEndpoint, presetText(targets), out));
+    TRY(sendRequest(settings.callerEndpoint, out));
+    vm->stop();
+    return success();
+}
+
+} // namespace Sapphireladder::Testbed
--- /dev/null
+++ b/Tests/Testbed/LoadCaller.cpp
@@ -0,0 +1,110 @@
+#include "Testbed/Testbed.h"
+
+#include <deque>
+#include <thread>
+
+namespace Sapphireladder::Testbed {
+
+namespace {
+
+/** Largest answer body that the load tool takes. */
+constexpr std::size_t answerLimit = 16 * mebibyte;
+
+} // namespace
+
+LoadCaller::LoadCaller(const LoadOptions &options)
+    : m_options(options)
+    , m_body(options.bodySize, 'b')
+    , m_idle(options.endpoints.size())
+{}
+
+void LoadCaller::run(LoadPlan &plan)
+{
+    while (const auto request = plan.next(m_clock.now())) {
+        std::this_thread::sleep_until(request->start);
+        send(*request);
+    }
+}
+
+Result<std::unique_ptr<UpstreamSession>> LoadCaller::session(std::size_t endpoint,
+                                                             TimePoint deadline)
+{
+    auto idle = std::move(m_idle[endpoint]);
+    if (idle && !idle->hasUnexpectedInput())
+        return idle;
+    return UpstreamSession::create(m_options.endpoints[endpoint], deadline);
+}
+
+void LoadCaller::send(const PlannedRequest &request)
+{
+    const auto deadline = m_clock.now() + m_options.timeout;
+    auto opened = session(request.endpoint, deadline);
+    if (!opened)
+        return m_report.addRefused("caller-connect-failed");
+    Poco::Net::HTTPRequest message(request.method, m_options.path,
+                                   Poco::Net::HTTPMessage::HTTP_1_1);
+    message.setHost(m_options.service);
+    message.set(requestIdHeader, request.id);
+    message.set(timeoutHeader, std::to_string(toMilliseconds(m_options.timeout)));
+    message.set(classHeader, request.deferrable ? "deferrable" : "urgent");
+    if (!request.key.empty())
+        message.set(idempotencyKeyHeader, request.key);
+    const std::string_view body = request.method == "GET" ? std::string_view() : m_body;
+    // An answer of a VM that gives up at the deadline still needs time to get here.
+    constexpr Duration grace = std::chrono::milliseconds(500);
+    auto end = exchange(*opened.value(), message, body, answerLimit, deadline + grace);
+    if (const auto *whole = std::get_if<WholeAnswer>(&end)) {
+        judge(request, *whole);
+        if (whole->reusable)
+            m_idle[request.endpoint] = std::move(opened.value());
+    } else if (const auto *unknown = std::get_if<Unknown>(&end)) {
+        m_report.addUnknown("caller-" + std::string(nameOf(unknown->reason)));
+    } else {
+        m_report.addRefused("caller-not-sent");
+    }
+}
+
+void LoadCaller::judge(const PlannedRequest &request, const WholeAnswer &answer)
+{
+    const auto latency = m_clock.now() - request.start;
+    const auto status = static_cast<unsigned>(answer.head.getStatus());
+    // Targets that are called directly send no outcome, but mark what they shed.
+    const ShedMark mark;
+    const bool shed = answer.head.get(mark.header, "") == mark.value;
+    const auto outcome = answer.head.get(outcomeHeader, shed ? "not-run" : "answered");
+    if (outcome == "not-run")
+        return m_report.addRefused(answer.head.get(reasonHeader, "shed"));
+    if (outcome == "unknown")
+        return m_report.addUnknown(answer.head.get(reasonHeader, "no-reason"));
+    m_report.addAnswered(status, latency);
+    constexpr unsigned ok = 200;
+    if (status != ok)
+        return;
+    // The recorded answer of a keyed request names the first request with that key.
+    const bool isOwn = answer.head.get(requestIdHeader, request.id) == request.id;
+    const auto check = checkAnswerBody(answer.body, request.id);
+    const bool mayBeRecorded = !request.key.empty() && check == BodyCheck::OtherRequest;
+    if (!isOwn || (check != BodyCheck::Whole && !mayBeRecorded))
+        m_report.addWrong();
+}
+
+RunReport runLoad(const LoadOptions &options)
+{
+    const unsigned n = options.callers > 0 ? options.callers : options.threads;
+    LoadPlan plan(options, SteadyClock().now());
+    std::deque<LoadCaller> callers;
+    for (unsigned i = 0; i < n; ++i)
+        callers.emplace_back(options);
+    std::vector<std::thread> threads;
+    threads.reserve(n);
+    for (auto &it : callers)
+        threads.emplace_back([&it, &plan] { it.run(plan); });
+    RunReport report;
+    for (unsigned i = 0; i < n; ++i) {
+        threads[i].join();
+        report.merge(callers[i].report());
+    }
+    return report;
+}
+
+} // namespace Sapphireladder::Testbed
--- /dev/null
+++ b/Tests/Testbed/LoadOptions.cpp
@@ -0,0 +1,57 @@
+#include "Testbed/Testbed.h"
+
+namespace Sapphireladder::Testbed {
+
+namespace {
+
+using O = LoadOptions;
+
+/** Reads endpoints that are separated by commas. */
+bool setEndpoints(O &options, std::string_view text)
+{
+    options.endpoints.clear();
+    while (true) {
+        const auto comma = text.find(',');
+        auto endpoint = Endpoint::parse(text.substr(0, comma));
+        if (!endpoint)
+            return false;
+        options.endpoints.push_back(std::move(endpoint.value()));
+        if (comma == std::string_view::npos)
+            return true;
+        text.remove_prefix(comma + 1);
+    }
+}
+
+bool setRate(O &options, std::string_view text)
+{
+    return parseValue(text, options.rate) && options.rate > 0;
+}
+
+} // namespace
+
+std::span<const Field<LoadOptions>> loadFields()
+{
+    static constexpr Field<O> fields[] = {
+            {"endpoints", "addresses that requests go to, separated by commas", setEndpoints},
+            {"service", "name in the Host header", setMember<&O::service>},
+            {"path", "path of every request", setMember<&O::path>},
+            {"rate", "requests each second, at random times", setRate},
+            {"callers", "callers that wait for each answer, instead of a rate",
+             setMember<&O::callers>},
+            {"threads", "threads that send at a rate", setMember<&O::threads>},
+            {"count", "requests after which the run ends", setMember<&O::count>},
+            {"duration", "time after which the run ends", setMember<&O::duration>},
+            {"timeout", "time that each request may take", setMember<&O::timeout>},
+            {"put_share", "share of PUT requests", setMember<&O::putShare>},
+            {"post_share", "share of POST requests, with keys", setMember<&O::postShare>},
+            {"duplicate_share", "share of the POST requests that are sent twice",
+             setMember<&O::duplicateShare>},
+            {"deferrable_share", "share of deferrable requests", setMember<&O::deferrableShare>},
+            {"body_size", "bytes of the bodies of PUT and POST requests", setMember<&O::bodySize>},
+            {"seed", "seed of random choices", setMember<&O::seed>},
+            {"json", "true for a report as JSON", setMember<&O::json>},
+    };
+    return fields;
+}
+
+} // namespace Sapphireladder::Testbed
--- /dev/null
+++ b/Tests/Testbed/LoadTest.cpp
@@ -0,0 +1,130 @@
+#include "Testbed/StandinFixture.h"
+
+#include <doctest/doctest.h>
+
+#include <sstream>
+
+using namespace Sapphireladder;
+using namespace Sapphireladder::Testbed;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Testbed");
+
+struct LoadFixture
+{
+    static TargetOptions targetOptions()
+    {
+        TargetOptions result;
+        result.endpoint = {"127.0.0.1", 0};
+        result.behaviour.limits = {64, 64};
+        result.behaviour.serviceTime = 1ms;
+        return result;
+    }
+
+    LoadOptions options()
+    {
+        LoadOptions result;
+        result.endpoints = {first.endpoint(), second.endpoint()};
+        result.rate = 1000;
+        result.count = 200;
+        result.threads = 8;
+        result.timeout = 20s;
+        return result;
+    }
+
+    void change(const Target &target, std::string_view json)
+    {
+        const auto end = callStandin(target.endpoint(),
+                                     {"POST", "/behaviour", {}, std::string(json), 20s});
+        REQUIRE(statusOf(end) == 200);
+    }
+
+    Target first{targetOptions()};
+    Target second{targetOptions()};
+};
+
+TEST_CASE_FIXTURE(LoadFixture, "load, with sound targets, is answered whole")
+{
+    auto load = options();
+    load.postShare = 0.3;
+    load.putShare = 0.3;
+    const auto report = runLoad(load);
+    CHECK(report.sent() == 200);
+    CHECK(report.answered() == 200);
+    CHECK(report.wrong() == 0);
+    CHECK(report.quantile(0.5) >= 1ms);
+}
+
+TEST_CASE_FIXTURE(LoadFixture, "load, with closed loop callers, sends every request")
+{
+    auto load = options();
+    load.callers = 4;
+    CHECK(runLoad(load).answered() == 200);
+}
+
+TEST_CASE_FIXTURE(LoadFixture, "load, with mixed ends, counts each request once")
+{
+    change(first, R"({"reject": "marked"})");
+    change(second, R"({"answer": "cut", "answer_share": 0.5})");
+    const auto report = runLoad(options());
+    CHECK(report.sent() == 200);
+    CHECK(report.answered() + report.refused() + report.unknown() == 200);
+    CHECK(report.refused() > 0);
+    CHECK(report.unknown() > 0);
+    CHECK(report.wrong() == 0);
+}
+
+TEST_CASE_FIXTURE(LoadFixture, "load, with answers to earlier requests, finds them wrong")
+{
+    change(first, R"({"answer": "earlier"})");
+    auto load = options();
+    load.endpoints = {first.endpoint()};
+    CHECK(runLoad(load).wrong() == 200);
+}
+
+TEST_CASE_FIXTURE(LoadFixture, "load, with duplicates, sends one key to two endpoints")
+{
+    auto load = options();
+    load.postShare = 1;
+    load.duplicateShare = 1;
+    LoadPlan plan(load, SteadyClock().now());
+    const auto request = plan.next({});
+    const auto duplicate = plan.next({});
+    REQUIRE(request);
+    REQUIRE(duplicate);
+    CHECK(request->key == duplicate->key);
+    CHECK(request->id != duplicate->id);
+    CHECK(request->endpoint != duplicate->endpoint);
+}
+
+TEST_CASE_FIXTURE(LoadFixture, "load, with a slow target, counts latency from the intended start")
+{
+    change(first, R"({"service_time": "20ms"})");
+    auto load = options();
+    load.endpoints = {first.endpoint()};
+    load.threads = 1;
+    load.count = 20;
+    // The last request is meant to start long before the 19 before it have ended.
+    CHECK(runLoad(load).quantile(1) >= 200ms);
+}
+
+TEST_CASE("load report, with known latencies, gives the exact quantiles")
+{
+    RunReport report;
+    for (int i = 1; i <= 1000; ++i)
+        report.addAnswered(200, i * 1us);
+    report.addAnswered(503, 1h);
+    CHECK(report.quantile(0.5) == 500us);
+    CHECK(report.quantile(0.99) == 990us);
+    CHECK(report.quantile(0.999) == 999us);
+    CHECK(report.answered() == 1001);
+}
+
+TEST_CASE("demo, run in one process, shows the whole answer")
+{
+    std::ostringstream out;
+    CHECK(runDemo(out));
+    CHECK(out.str().find("Sapphireladder-Outcome: answered") != std::string::npos);
+}
+
+TEST_SUITE_END();
--- a/Tests/Testbed/Main.cpp
+++ b/Tests/Testbed/Main.cpp
@@ -110,6 +110,25 @@
     return success();
 }
 
+Result<> runLoadTool(std::span<const char *const> arguments)
+{
+    cxxopts::Options options("sapphireladder-testbed load", "Sends requests and checks answers.");
+    addFields(options, Testbed::loadFields());
+    const auto parsed = parseArguments(options, arguments);
+    Testbed::LoadOptions load;
+    TRY(readFields(load, Testbed::loadFields(), parsed));
+    if (load.endpoints.empty())
+        return makeError(Testbed::TestbedError::MissingEndpoints);
+    const auto report = Testbed::runLoad(load);
+    std::cout << (load.json ? report.toJson() + "\n" : report.toText());
+    return success();
+}
+
+Result<> runDemoTool(std::span<const char *const>)
+{
+    return Testbed::runDemo(std::cout);
+}
+
 /** One row of the table of subcommands. */
 struct Command
 {
@@ -120,6 +139,8 @@
 constexpr Command commands[] = {
         {"target", runTarget},
         {"platform", runPlatform},
+        {"load", runLoadTool},
+        {"demo", runDemoTool},
 };
 
 int runCommand(const Command &command, std::span<const char *const> arguments)
@@ -146,6 +167,6 @@
         if (argc > 1 && arguments[1] == it.name)
             return runCommand(it, arguments.subspan(1));
     }
-    std::cerr << "usage: sapphireladder-testbed target|platform [OPTIONS]\n";
+    std::cerr << "usage: sapphireladder-testbed target|platform|load|demo [OPTIONS]\n";
     return 2;
 }
--- a/Tests/Testbed/TestbedError.h
+++ b/Tests/Testbed/TestbedError.h
@@ -9,6 +9,8 @@
     NotAnObject = 1,
     UnknownField,
     InvalidValue,
+    MissingEndpoints,
+    DemoFailed,
 };
 
 std::error_code make_error_code(TestbedError error);
