--- a/Source/Request/RequestExecutor.cpp
+++ b/Source/Request/RequestExecutor.cpp
@@ -28,14 +28,32 @@
     if (m_ports.clock.now() >= info.deadline)
         return Refusal{RefusalReason::DeadlineExpired};
     m_ports.tokens.recordFirstAttempt();
+    RequestClaim claim(m_ports.claims, info, m_ports.clock);
+    auto outcome = runAttempts(info, headers, body, claim);
+    // An earlier attempt may have run the request, so that "not run" would not be true.
+    if (m_mayHaveRun && std::holds_alternative<Refusal>(outcome))
+        outcome = *m_mayHaveRun;
+    claim.settle(outcome);
+    return outcome;
+}
+
+RequestOutcome RequestExecutor::runAttempts(const RequestInfo &info,
+                                            std::span<const HeaderField> headers,
+                                            std::string_view body, RequestClaim &claim)
+{
     std::optional<RequestOutcome> last;
     while (true) {
         const auto admission = m_ports.gate.acquire(info, m_tried);
         if (const auto *reason = std::get_if<RefusalReason>(&admission))
             return last ? std::move(*last) : Refusal{*reason};
         const auto &lease = std::get<TargetLease>(admission);
+        if (auto instead = claim.beginAttempt()) {
+            m_ports.gate.cancel(lease);
+            return std::move(*instead);
+        }
         auto result = attemptOnce(lease,
                                   {info, *lease.target, m_policy, headers, body, m_attempts});
+        claim.attemptEnded(result);
         const auto failure = failureOf(result);
         m_tried.push_back(lease.target->id);
         if (!failure || !mayRetry(info, *failure))
@@ -51,6 +69,8 @@
     auto result = m_ports.transport.attempt(request);
     result.latency = m_ports.clock.now() - start;
     m_ports.gate.release(lease, result);
+    if (const auto *unknown = std::get_if<Unknown>(&result.end))
+        m_mayHaveRun = *unknown;
     return result;
 }
 
--- a/Source/Request/RequestExecutor.h
+++ b/Source/Request/RequestExecutor.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "Request/RequestClaim.h"
 #include "Request/RequestPorts.h"
 #include "Request/RetryDecision.h"
 
+#include <optional>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -17,6 +19,8 @@
     RetryTokens &tokens;
     RequestObserver &observer;
     const Clock &clock;
+    /** Null refuses every request that needs a claim. */
+    const ClaimPorts *claims = nullptr;
 };
 
 /** Takes one request from admission to its outcome. Lives for the request, on one thread. */
@@ -37,12 +41,16 @@
                        std::string_view body);
 
 private:
+    RequestOutcome runAttempts(const RequestInfo &info, std::span<const HeaderField> headers,
+                               std::string_view body, RequestClaim &claim);
     AttemptResult attemptOnce(const TargetLease &lease, const AttemptRequest &request);
     bool mayRetry(const RequestInfo &info, const FailedAttempt &failure);
 
     RequestPorts m_ports;
     const ServicePolicy &m_policy;
     unsigned m_attempts = 0;
+    /** Set once an attempt ended without proof that the target did not run the request. */
+    std::optional<Unknown> m_mayHaveRun;
     std::vector<TargetId> m_tried;
 };
 
