Tests: Cover racing threads at the gate and the control state's tick

Nothing showed that the gate gives a slot to one thread at a time, or that an observation becomes a verdict through ControlState.

Eight threads now take one slot in turn; ControlState is driven through its messages and must publish a view for a new verdict only.

--- a/Tests/Process/AdmissionControlTest.cpp
+++ b/Tests/Process/AdmissionControlTest.cpp
@@ -165,7 +165,7 @@
         blocking.publish(view);
         info.deadline = steady.now() + 60s;
     }
-    ~ServiceGateFixture()
+    ~ServiceGateFixture() override
     {
         if (waiter.joinable())
             waiter.join();
@@ -225,6 +225,27 @@
     CHECK(std::get<RefusalReason>(blocking.acquire(info, {})) == RefusalReason::QueueTimeout);
 }
 
+// Guards against a slot lost or given twice when threads race, which would leave a thread waiting.
+TEST_CASE_FIXTURE(ServiceGateFixture, "ServiceGate, many threads, gives each one the slot alone")
+{
+    std::atomic<int> holders{0};
+    std::atomic<int> failures{0};
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 8; ++i) {
+        threads.emplace_back([&] {
+            for (int n = 0; n < 200; ++n) {
+                const auto slot = blocking.acquire(info, {});
+                failures += !std::holds_alternative<TargetLease>(slot) || ++holders != 1;
+                --holders;
+                blocking.release(std::get<TargetLease>(slot), answered(1us));
+            }
+        });
+    }
+    for (auto &it : threads)
+        it.join();
+    CHECK(failures == 0);
+}
+
 // Guards against a late control thread that blocks traffic or lets memory grow.
 TEST_CASE_FIXTURE(ServiceGateFixture, "ObservationQueue, full, drops and counts")
 {
--- /dev/null
+++ b/Tests/Process/ControlStateTest.cpp
@@ -0,0 +1,67 @@
+#include "Process/ServiceFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Process");
+
+struct ControlStateFixture
+    : ServiceFixture
+    , ControlActions
+{
+    ControlStateFixture()
+    {
+        addTargets(2, 4);
+        const auto read = PresetSnapshot::create(1, ContentDigest("d"), preset).value();
+        state.handle(PresetRead{{}, read});
+        info.deadline = TimePoint(60s);
+    }
+
+    void readInForce() override {}
+    void readPreset(const InForce &) override {}
+    void runSwitch(const SwitchCommand &) override {}
+    void publish(std::shared_ptr<const FleetSnapshot> next) override { fleet = std::move(next); }
+    void setReady(bool, std::string_view) override {}
+
+    ServiceGate &serviceGate() { return fleet->services.at("jomakhata")->gate; }
+    TargetLease acquire() { return std::get<TargetLease>(serviceGate().acquire(info, {})); }
+
+    Settings settings;
+    Metrics metrics;
+    std::shared_ptr<const FleetSnapshot> fleet;
+    RequestInfo info;
+    ControlState state{settings, clock, RandomSource(7), *this, *this, metrics};
+};
+
+// Guards against observations that never become a verdict, and against a view for each tick.
+TEST_CASE_FIXTURE(ControlStateFixture,
+                  "ControlState, tick, publishes a view for a new verdict only")
+{
+    const auto marked = acquire();
+    state.handle(Tick{});
+    CHECK(acquire().owner == marked.owner);
+    auto mark = answered();
+    mark.draining = true;
+    serviceGate().release(marked, mark);
+    state.handle(Tick{});
+    const auto next = acquire();
+    CHECK(next.owner != marked.owner);
+    CHECK(next.target->id != marked.target->id);
+    CHECK(std::count(events.begin(), events.end(), "target-leaving " + marked.target->id.string())
+          == 1);
+}
+
+TEST_CASE_FIXTURE(ControlStateFixture,
+                  "ControlState, markLeaving, takes effect before the next tick")
+{
+    state.markLeaving(policy().name, TargetId("t1"), 1);
+    for (int i = 0; i < 4; ++i)
+        CHECK(acquire().target->id == TargetId("t2"));
+    state.markLeaving(policy().name, TargetId("t2"), 1);
+    CHECK(std::get<RefusalReason>(serviceGate().acquire(info, {}))
+          == RefusalReason::NoUsableTarget);
+}
+
+TEST_SUITE_END();
