--- a/Tests/Process/AdmissionControlTest.cpp
+++ b/Tests/Process/AdmissionControlTest.cpp
@@ -230,8 +230,10 @@
 {
     std::atomic<int> holders{0};
     std::atomic<int> failures{0};
+    constexpr std::size_t threadCount = 8;
     std::vector<std::thread> threads;
-    for (int i = 0; i < 8; ++i) {
+    threads.reserve(threadCount);
+    for (std::size_t i = 0; i < threadCount; ++i) {
         threads.emplace_back([&] {
             for (int n = 0; n < 200; ++n) {
                 const auto slot = blocking.acquire(info, {});
