--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Process/ControlTraffic.h"
 #include "Request/Request.h"
 
 #include <array>
@@ -63,6 +64,9 @@
     {
         m_droppedObservations.store(n, std::memory_order_relaxed);
     }
+    std::uint64_t olderVersions() const { return m_olderVersions.load(std::memory_order_relaxed); }
+    /** @return counters of the process's own calls to the platform and to other VMs. */
+    ControlTraffic &controlTraffic() { return m_controlTraffic; }
 
     /** @return the counters in the text exposition format of Prometheus, version 0.0.4. */
     std::string toText() const;
@@ -80,6 +84,7 @@
     ReasonCounters<RetryReason> m_retries;
     ReasonCounters<RetryDenial> m_denials;
     LatencyHistogram m_latency;
+    ControlTraffic m_controlTraffic;
 };
 
 } // namespace Sapphireladder
--- a/Tests/Process/ControlStateTest.cpp
+++ b/Tests/Process/ControlStateTest.cpp
@@ -10,12 +10,13 @@
 struct ControlStateFixture
     : ServiceFixture
     , ControlActions
+    , PeerActions
 {
     ControlStateFixture()
     {
         addTargets(2, 4);
         const auto read = PresetSnapshot::create(1, ContentDigest("d"), preset).value();
-        state.handle(PresetRead{{}, read});
+        state.handle(PresetRead{{}, read, nullptr});
         info.deadline = TimePoint(60s);
     }
 
@@ -23,7 +24,30 @@
     void readPreset(const InForce &) override {}
     void runSwitch(const SwitchCommand &) override {}
     void publish(std::shared_ptr<const FleetSnapshot> next) override { fleet = std::move(next); }
+    void publishStatus(std::shared_ptr<const FleetStatus>) override {}
     void setReady(bool, std::string_view) override {}
+    void writeHeartbeat(const Member &) override {}
+    void removeHeartbeat(const Member &) override {}
+    void readMembers(unsigned) override {}
+    void readVmList() override {}
+    void exchange(const Endpoint &, const Digest &) override {}
+    void pushPreset(const Endpoint &, const InForce &) override {}
+    void fetchPreset(const Endpoint &, const InForce &) override {}
+
+    void listAsLeaving(const TargetSpec &target)
+    {
+        state.handle(
+                VmListRead{std::vector<VmListEntry>{{target.endpoint, policy().name, 1, true}}});
+    }
+    /** @return the marks that this VM tells a peer. */
+    std::vector<TargetMark> toldMarks()
+    {
+        std::vector<TargetMark> marks;
+        Digest heard;
+        heard.sender.vm = VmId("vm-2");
+        state.handle(DigestHeard{heard, [&](const Digest &digest) { marks = digest.marks; }});
+        return marks;
+    }
 
     ServiceGate &serviceGate() { return fleet->services.at("jomakhata")->gate; }
     TargetLease acquire() { return std::get<TargetLease>(serviceGate().acquire(info, {})); }
@@ -32,7 +56,7 @@
     Metrics metrics;
     std::shared_ptr<const FleetSnapshot> fleet;
     RequestInfo info;
-    ControlState state{settings, clock, RandomSource(7), *this, *this, metrics};
+    ControlState state{settings, clock, RandomSource(7), 1, *this, *this, *this, metrics};
 };
 
 // Guards against observations that never become a verdict, and against a view for each tick.
@@ -54,12 +78,12 @@
 }
 
 TEST_CASE_FIXTURE(ControlStateFixture,
-                  "ControlState, markLeaving, takes effect before the next tick")
+                  "ControlState, VM list names a leaving target, avoids it at once")
 {
-    state.markLeaving(policy().name, TargetId("t1"), 1);
+    listAsLeaving(policy().targets[0]);
     for (int i = 0; i < 4; ++i)
         CHECK(acquire().target->id == TargetId("t2"));
-    state.markLeaving(policy().name, TargetId("t2"), 1);
+    listAsLeaving(policy().targets[1]);
     CHECK(std::get<RefusalReason>(serviceGate().acquire(info, {}))
           == RefusalReason::NoUsableTarget);
 }
