--- a/Source/Process/ControlState.cpp
+++ b/Source/Process/ControlState.cpp
@@ -193,11 +193,8 @@
 void ControlState::onDigestHeard(const DigestHeard &message)
 {
     m_readiness.peerHeard(m_clock.now());
-    if (m_fleet.hear(message.digest, m_clock.now())) {
-        for (const auto &it : message.digest.marks)
-            applyMark(it.service, it.target);
-        publishChangedViews();
-    }
+    if (m_fleet.hear(message.digest, m_clock.now()))
+        publishSnapshot();
     const auto &inForce = message.digest.inForce;
     // A peer that is behind is ordinary during a switch; it learns from the answer.
     if (inForce.version > 0 && inForce.version >= m_register.version())
@@ -240,14 +237,14 @@
         m_events.record(EventId::VmListUnavailable, {});
         return;
     }
+    bool changed = false;
     for (const auto &it : message.entries.value()) {
         const auto target = targetAt(it.service, it.address);
-        if (target.isEmpty())
-            continue;
-        m_fleet.hear({it.service, target, it.incarnation, it.leaving});
-        applyMark(it.service, target);
+        if (!target.isEmpty())
+            changed = m_fleet.hear({it.service, target, it.incarnation, it.leaving}) || changed;
     }
-    publishChangedViews();
+    if (changed)
+        publishSnapshot();
 }
 
 TargetId ControlState::targetAt(const ServiceName &service, const Endpoint &address) const
@@ -287,6 +284,7 @@
     auto snapshot = std::make_shared<FleetSnapshot>();
     snapshot->preset = m_register.current();
     m_supervisor.setPreset(snapshot->preset->preset(), m_clock.now());
+    takeMarks();
     m_supervisor.update(m_clock.now());
     for (const auto &it : snapshot->preset->preset().services) {
         auto &state = m_services[it.name];
@@ -314,39 +312,44 @@
 
 void ControlState::superviseTargets()
 {
-    for (const auto &it : m_observations->drain()) {
+    for (const auto &it : m_observations->drain())
         m_supervisor.observe(it, m_clock.now());
-        if (it.draining)
-            tellDraining(it.service(), it.target().spec->id);
-    }
     m_metrics.setDroppedObservations(m_observations->dropped());
     publishChangedViews();
 }
 
-void ControlState::tellDraining(const ServiceName &service, const TargetId &target)
+void ControlState::publishChangedViews()
 {
-    const auto known = m_fleet.marks().find(service, target);
-    m_fleet.hear(TargetMark{service, target, known ? known->incarnation : 0, true});
+    for (const auto &it : m_supervisor.update(m_clock.now())) {
+        const auto *policy = m_register.current()->findService(it.view());
+        const auto view = viewOf(*policy);
+        m_services.at(it)->gate.publish(view);
+        tellMarks(it, view->targets);
+    }
 }
 
-void ControlState::applyMark(const ServiceName &service, const TargetId &target)
+void ControlState::takeMarks()
 {
-    const auto mark = m_fleet.marks().find(service, target);
-    if (!mark)
-        return;
-    if (mark->leaving)
-        m_supervisor.markLeaving(service, target, mark->incarnation);
-    else
-        m_supervisor.markLive(service, target, mark->incarnation, m_clock.now());
+    for (const auto &service : m_register.current()->preset().services) {
+        for (const auto &it : service.targets) {
+            const auto mark = m_fleet.marks().find(service.name, it.id);
+            if (mark && mark->leaving)
+                m_supervisor.markLeaving(service.name, it.id, mark->incarnation);
+            else if (mark)
+                m_supervisor.markLive(service.name, it.id, mark->incarnation, m_clock.now());
+        }
+    }
 }
 
-void ControlState::publishChangedViews()
+void ControlState::tellMarks(const ServiceName &service, std::span<const TargetView> targets)
 {
-    if (!m_register.current())
-        return;
-    for (const auto &it : m_supervisor.update(m_clock.now())) {
-        if (const auto *policy = m_register.current()->findService(it.view()))
-            m_services.at(it)->gate.publish(viewOf(*policy));
+    for (const auto &it : targets) {
+        const auto known = m_fleet.marks().find(service, it.spec->id);
+        if (!it.verdict.leaving || (known && known->leaving))
+            continue;
+        // The mark of an answer names no incarnation; it means the one that is known.
+        if (m_fleet.hear({service, it.spec->id, known ? known->incarnation : 0, true}))
+            m_fleet.hurry();
     }
 }
 
--- a/Source/Process/ControlState.h
+++ b/Source/Process/ControlState.h
@@ -85,14 +85,13 @@
     /** @return target of the service at the address, empty if the preset has none. */
     TargetId targetAt(const ServiceName &service, const Endpoint &address) const;
     void publishSnapshot();
-    /** Takes in what the traffic threads saw of targets. */
+    /** Takes in observations and publishes the views of services whose verdicts have changed. */
     void superviseTargets();
-    /** Notes for the peers that a target said that it is leaving. */
-    void tellDraining(const ServiceName &service, const TargetId &target);
-    /** Hands what marks say of a target to the supervisor. */
-    void applyMark(const ServiceName &service, const TargetId &target);
-    /** Publishes the views of services whose verdicts have changed. */
     void publishChangedViews();
+    /** Gives the fleet's marks to the supervisor. */
+    void takeMarks();
+    /** Gives leaving targets that this VM has found out to the other VMs. */
+    void tellMarks(const ServiceName &service, std::span<const TargetView> targets);
     std::shared_ptr<const ServiceView> viewOf(const ServicePolicy &policy);
     void updateReadiness();
 
