Scenarios: Switch presets under races, outages and restarts

Change: the status shows members, versions, isolation, store reachability and leaving targets. A stopping VM tells its peers and closes connections only after the lameduck time. The first wait for the VM list is random, so that VMs that started together do not read it at the same moment. Scenarios cover racing operators with lost answers, killed, paused and restarted VMs and late old rows, a start in a store outage with isolation, and leaving targets. A run of 14 VMs measures the cost of control.

--- a/Source/Main/VmProcess.cpp
+++ b/Source/Main/VmProcess.cpp
@@ -20,6 +20,25 @@
     return static_cast<std::uint64_t>(duration_cast<std::chrono::milliseconds>(time).count());
 }
 
+void addFleetStatus(const FleetStatus &status, nlohmann::json &object)
+{
+    object["why_not_ready"] = status.why;
+    object["isolated"] = status.isolated;
+    object["store_reachable"] = status.storeReachable;
+    object["incarnation"] = status.incarnation;
+    object["heard_version"] = status.heardVersion;
+    object["older_versions"] = status.olderVersions;
+    object["leaving_targets"] = status.leavingTargets;
+    auto &members = object["members"] = nlohmann::json::array();
+    for (const auto &it : status.members) {
+        members.push_back({{"vm", it.vm.string()},
+                           {"endpoint", it.endpoint.toString()},
+                           {"zone", it.zone.string()},
+                           {"incarnation", it.incarnation},
+                           {"stopping", it.stopping}});
+    }
+}
+
 AdminReply errorReply(unsigned status, const Error &error)
 {
     return {status, "application/json", nlohmann::json({{"error", error.toString()}}).dump()};
@@ -84,9 +103,11 @@
 void VmProcess::stop()
 {
     m_events.record(EventId::ShutdownStep, {{"step", "readiness-off"}});
+    // The control thread also tells the peers.
     m_control.post(StopRequested{});
-    m_stopping = true;
     std::this_thread::sleep_for(m_settings.lameduck);
+    m_events.record(EventId::ShutdownStep, {{"step", "close-connections"}});
+    m_stopping = true;
     m_events.record(EventId::ShutdownStep, {{"step", "finish-in-flight"}});
     m_listener->stop();
     m_events.record(EventId::ProcessStopped, {});
@@ -127,7 +148,7 @@
 AdminReply VmProcess::status()
 {
     const auto current = preset();
-    const nlohmann::json object = {
+    nlohmann::json object = {
             {"vm", m_settings.vm.string()},
             {"zone", m_settings.zone.string()},
             {"ready", m_ready.load()},
@@ -136,6 +157,8 @@
             {"digest", current ? current->digest().string() : ""},
             {"connections", m_listener->connectionCount()},
     };
+    if (const auto fleet = std::atomic_load(&m_fleetStatus))
+        addFleetStatus(*fleet, object);
     return {200, "application/json", object.dump()};
 }
 
--- a/Source/Process/ControlState.cpp
+++ b/Source/Process/ControlState.cpp
@@ -191,8 +191,10 @@
 void ControlState::onDigestHeard(const DigestHeard &message)
 {
     m_readiness.peerHeard(m_clock.now());
-    if (m_fleet.hear(message.digest, m_clock.now()))
+    if (m_fleet.hear(message.digest, m_clock.now())) {
         publishSnapshot();
+        publishStatus();
+    }
     const auto &inForce = message.digest.inForce;
     // A peer that is behind is ordinary during a switch; it learns from the answer.
     if (inForce.version > 0 && inForce.version >= m_register.version())
@@ -241,8 +243,10 @@
         if (!target.isEmpty())
             changed = m_fleet.hear({it.service, target, it.incarnation, it.leaving}) || changed;
     }
-    if (changed)
+    if (changed) {
         publishSnapshot();
+        publishStatus();
+    }
 }
 
 TargetId ControlState::targetAt(const ServiceName &service, const Endpoint &address) const
--- a/Source/Process/FleetControl.cpp
+++ b/Source/Process/FleetControl.cpp
@@ -38,7 +38,12 @@
         ++m_shardsRead;
     }
     if (now >= m_nextVmListRead) {
-        m_nextVmListRead = now + jittered(vmListInterval);
+        // VMs that started together would otherwise all read at the same moment, and a change of
+        // the list would wait for a whole interval instead of a share of it.
+        const bool isFirst = m_nextVmListRead == TimePoint{};
+        m_nextVmListRead = now
+                           + (isFirst ? duration_cast<Duration>(vmListInterval * m_random.unit())
+                                      : jittered(vmListInterval));
         m_actions.readVmList();
     }
 }
--- /dev/null
+++ b/Tests/Scenarios/ControlTest.cpp
@@ -0,0 +1,343 @@
+#include "Scenarios/Fleet.h"
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+#include <unistd.h>
+
+using namespace Sapphireladder;
+using namespace Sapphireladder::Scenarios;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Scenarios");
+
+namespace {
+
+/** Follows the version that each VM's process applies, with a thread for each VM. */
+class VersionWatch
+{
+public:
+    explicit VersionWatch(Fleet &fleet)
+        : m_fleet(fleet)
+        , m_firstSeen(fleet.vmCount())
+    {
+        // A paused VM holds up the thread that asks it.
+        for (std::size_t i = 0; i < fleet.vmCount(); ++i)
+            m_threads.emplace_back([this, i] { run(i); });
+    }
+    ~VersionWatch() { stop(); }
+
+    void stop()
+    {
+        m_done = true;
+        for (auto &it : m_threads) {
+            if (it.joinable())
+                it.join();
+        }
+    }
+    /** @return whether a process ever applied a lower version than before. */
+    bool wentBack() const { return m_wentBack; }
+    /** @return times from each acceptance to the sight of that version or a later one at a VM. */
+    std::vector<Duration> spread(const std::map<PresetVersion, TimePoint> &accepted,
+                                 std::size_t vm) const
+    {
+        std::vector<Duration> times;
+        for (const auto &[version, time] : accepted) {
+            const auto it = m_firstSeen[vm].lower_bound(version);
+            if (it != m_firstSeen[vm].end())
+                times.push_back(std::max(it->second - time, Duration::zero()));
+        }
+        return times;
+    }
+
+private:
+    void run(std::size_t vm)
+    {
+        std::uint64_t process = 0;
+        PresetVersion last = 0;
+        while (!m_done) {
+            const auto status = nlohmann::json::parse(m_fleet.admin(vm, "/status"), nullptr, false);
+            if (status.is_object() && status.contains("incarnation")) {
+                const auto version = status.at("version").get<PresetVersion>();
+                const auto incarnation = status.at("incarnation").get<std::uint64_t>();
+                if (incarnation == process && version < last)
+                    m_wentBack = true;
+                process = incarnation;
+                last = version;
+                m_firstSeen[vm].try_emplace(version, SteadyClock().now());
+            }
+            std::this_thread::sleep_for(10ms);
+        }
+    }
+
+    Fleet &m_fleet;
+    /** Written by the VM's thread, read after stop(). */
+    std::vector<std::map<PresetVersion, TimePoint>> m_firstSeen;
+    std::atomic<bool> m_done{false};
+    std::atomic<bool> m_wentBack{false};
+    std::vector<std::thread> m_threads;
+};
+
+void report(std::string_view what, std::vector<Duration> times)
+{
+    if (times.empty())
+        return;
+    std::sort(times.begin(), times.end());
+    std::cout << what << ": n=" << times.size()
+              << " median=" << toMilliseconds(times[times.size() / 2])
+              << "ms p95=" << toMilliseconds(times[times.size() * 95 / 100])
+              << "ms max=" << toMilliseconds(times.back()) << "ms\n";
+}
+
+/** User and system time of a process so far, in seconds. */
+double processorSeconds(int pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+    std::string word;
+    double ticks = 0;
+    for (int i = 1; i <= 15 && file >> word; ++i) {
+        if (i >= 14)
+            ticks += std::stod(word);
+    }
+    return ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+/** Resident memory of a process in megabytes. */
+double residentMegabytes(int pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
+    double total = 0;
+    double resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+} // namespace
+
+struct ControlFixture
+{
+    /** One operator who switches again and again, and repeats an operation of unknown fate. */
+    void operate(std::size_t vm, const std::string &preset, int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            const auto operation = preset + "-" + std::to_string(i);
+            int code = 6;
+            for (int attempt = 0; attempt < 20 && code == 6; ++attempt)
+                code = switchOnce(vm, preset, operation);
+            const std::lock_guard lock(mutex);
+            ++ends[code];
+        }
+    }
+    int switchOnce(std::size_t vm, const std::string &preset, const std::string &operation)
+    {
+        const auto output = fleet.runProduct({"preset", "switch", preset, "--admin",
+                                              fleet.adminEndpoint(vm).toString(), "--author",
+                                              "test", "--operation", operation});
+        if (output.exitCode == 0) {
+            const auto now = SteadyClock().now();
+            const auto object = nlohmann::json::parse(output.out);
+            const std::lock_guard lock(mutex);
+            accepted.try_emplace(object.at("in_force").at("version").get<PresetVersion>(), now);
+        }
+        return output.exitCode;
+    }
+    bool allReach(PresetVersion version)
+    {
+        return Fleet::eventually(
+                [&] {
+                    for (std::size_t i = 0; i < fleet.vmCount(); ++i) {
+                        if (fleet.versionOf(i) != version)
+                            return false;
+                    }
+                    return true;
+                },
+                60s);
+    }
+
+    Fleet fleet{{.vmCount = 5,
+                 .targetCount = 2,
+                 .extraSettings = "isolation_limit: 2s\n",
+                 .seedPeers = true}};
+    std::mutex mutex;
+    std::map<int, int> ends;
+    std::map<PresetVersion, TimePoint> accepted;
+};
+
+// Guards against a switch that some VM never applies, or that a late message undoes (H7, F2-F5).
+TEST_CASE_FIXTURE(ControlFixture,
+                  "fleet, with racing operators, lost answers and VMs that come and go, converges")
+{
+    REQUIRE(fleet.switchTo("ordinary", 0).exitCode == 0);
+    REQUIRE(fleet.switchTo("peak", 1).exitCode == 0);
+    VersionWatch watch(fleet);
+    REQUIRE(fleet.setFaults(R"({"lose_answers": 0.2, "delay": "20ms", "only_path": "/tables"})"));
+    std::thread first([&] { operate(0, "ordinary", 10); });
+    std::thread second([&] { operate(1, "peak", 10); });
+    for (int i = 0; i < 3; ++i) {
+        fleet.vm(2).signal(SIGKILL);
+        fleet.vm(3).signal(SIGSTOP);
+        std::this_thread::sleep_for(500ms);
+        fleet.vm(3).signal(SIGCONT);
+        fleet.restartVm(2);
+        fleet.restartVm(4);
+        std::this_thread::sleep_for(500ms);
+    }
+    first.join();
+    second.join();
+    // A store that answers with the old row after a newer one was written.
+    REQUIRE(fleet.setFaults(R"({"lose_answers": 0, "delay": "0ms", "old_row_late": "500ms"})"));
+    operate(0, "ordinary", 2);
+    REQUIRE(fleet.setFaults(R"({"old_row_late": "false", "down": "true", "only_path": ""})"));
+    std::this_thread::sleep_for(1s);
+    REQUIRE(fleet.setFaults(R"({"down": "false"})"));
+    for (const auto &[code, count] : ends)
+        CHECK((code == 0 || code == 4 || code == 5));
+    const auto row = nlohmann::json::parse(fleet.admin(0, "/preset/in-force"));
+    const auto last = row.at("version").get<PresetVersion>();
+    CHECK(last > 2);
+    CHECK(allReach(last));
+    watch.stop();
+    CHECK_FALSE(watch.wentBack());
+    for (const auto &[code, count] : ends)
+        std::cout << "commands with exit code " << code << ": " << count << '\n';
+    // VMs 2 to 4 are down or paused for part of the time, which counts here.
+    for (std::size_t vm = 0; vm < fleet.vmCount(); ++vm)
+        report("spread to VM " + std::to_string(vm), watch.spread(accepted, vm));
+}
+
+// Guards against a new VM that stays without a preset, or serves an old one, in an outage (F2).
+TEST_CASE_FIXTURE(ControlFixture,
+                  "VM, started in a store outage, takes its peers' version and serves")
+{
+    REQUIRE(fleet.switchTo("ordinary").exitCode == 0);
+    REQUIRE(fleet.switchTo("peak").exitCode == 0);
+    REQUIRE(allReach(2));
+    REQUIRE(fleet.setFaults(R"({"down": "true"})"));
+    fleet.restartVm(2);
+    CHECK(Fleet::eventually([&] { return fleet.admin(2, "/ready") == "ready\n"; }, 60s));
+    CHECK(fleet.versionOf(2) == 2);
+    for (const std::size_t vm : {0, 1, 3, 4})
+        fleet.vm(vm).signal(SIGKILL);
+    CHECK(Fleet::eventually(
+            [&] {
+                return fleet.admin(2, "/status").find("isolated from store") != std::string::npos;
+            },
+            60s));
+    CHECK(fleet.admin(2, "/ready") != "ready\n");
+    const auto answer = fleet.call(2);
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+}
+
+// Guards against new work for a target that the platform's list calls leaving (H5).
+TEST_CASE_FIXTURE(ControlFixture, "target, listed as leaving, gets no new work from any VM")
+{
+    REQUIRE(fleet.switchTo("ordinary").exitCode == 0);
+    REQUIRE(allReach(1));
+    const auto list = [&](const std::string &state, int incarnation) {
+        const bool taken = fleet.setVmList(R"([{"service":"botolchin","address":")"
+                                           + fleet.targetEndpoint(0).toString() + R"(","state":")"
+                                           + state + R"(","incarnation":)"
+                                           + std::to_string(incarnation) + "}]");
+        REQUIRE(taken);
+    };
+    const auto allCount = [&](std::uint64_t leaving) {
+        return Fleet::eventually(
+                [&] {
+                    for (std::size_t i = 0; i < fleet.vmCount(); ++i) {
+                        if (fleet.statusNumber(i, "leaving_targets") != leaving)
+                            return false;
+                    }
+                    return true;
+                },
+                60s);
+    };
+    const auto start = SteadyClock().now();
+    list("leaving", 1);
+    REQUIRE(allCount(1));
+    report("mark at all VMs after the list changed", {SteadyClock().now() - start});
+    for (std::size_t i = 0; i < fleet.vmCount(); ++i) {
+        for (int n = 0; n < 10; ++n) {
+            const auto answer = fleet.call(i);
+            REQUIRE(answer);
+            CHECK(answer->body.find("target-1 answers") != std::string::npos);
+        }
+    }
+    list("live", 2);
+    CHECK(allCount(0));
+}
+
+struct MemberRowsFixture
+{
+    Fleet fleet{{.vmCount = 3, .targetCount = 1}};
+};
+
+// Guards against heartbeat rows that cannot be written or read, which seed peers would hide.
+TEST_CASE_FIXTURE(MemberRowsFixture, "VM, without seed peers, learns all members from their rows")
+{
+    for (std::size_t i = 0; i < fleet.vmCount(); ++i)
+        CHECK(Fleet::eventually([&] { return fleet.memberCount(i) == 2; }, 60s));
+}
+
+struct FleetCostFixture
+{
+    Fleet fleet{{.vmCount = 14, .targetCount = 1}};
+};
+
+// Guards against control traffic beyond the agreed 1.4 % of a core, 32 MB and 5 KB a second.
+TEST_CASE_FIXTURE(FleetCostFixture, "control, of 14 VMs without traffic, stays within its cost")
+{
+    REQUIRE(fleet.switchTo("ordinary").exitCode == 0);
+    REQUIRE(Fleet::eventually(
+            [&] {
+                for (std::size_t i = 0; i < fleet.vmCount(); ++i) {
+                    if (fleet.memberCount(i) != fleet.vmCount() - 1)
+                        return false;
+                }
+                return true;
+            },
+            60s));
+    const auto bytes = [&](std::size_t vm) {
+        const auto text = fleet.admin(vm, "/metrics");
+        double sum = 0;
+        for (const auto *name : {"peer_sent", "peer_received", "store_sent", "store_received"}) {
+            const auto line = std::string("\nsapphireladder_") + name + "_bytes_total ";
+            const auto at = text.find(line);
+            if (at != std::string::npos)
+                sum += std::stod(text.substr(at + line.size()));
+        }
+        return sum;
+    };
+    std::vector<double> processor(fleet.vmCount());
+    std::vector<double> sent(fleet.vmCount());
+    const auto start = SteadyClock().now();
+    for (std::size_t i = 0; i < fleet.vmCount(); ++i) {
+        processor[i] = processorSeconds(fleet.vm(i).pid());
+        sent[i] = bytes(i);
+    }
+    std::this_thread::sleep_for(20s);
+    const auto seconds = toSeconds(SteadyClock().now() - start);
+    double share = 0;
+    double memory = 0;
+    double rate = 0;
+    for (std::size_t i = 0; i < fleet.vmCount(); ++i) {
+        share = std::max(share, (processorSeconds(fleet.vm(i).pid()) - processor[i]) / seconds);
+        memory = std::max(memory, residentMegabytes(fleet.vm(i).pid()));
+        rate = std::max(rate, (bytes(i) - sent[i]) / seconds);
+    }
+    std::cout << "control cost, largest of 14: " << share * 100 << " % of a core, " << memory
+              << " MB, " << rate << " bytes/s of messages\n";
+    CHECK(share <= 0.014);
+    CHECK(memory <= 32);
+    CHECK(rate <= 5000);
+}
+
+TEST_SUITE_END();
--- a/Tests/Scenarios/Fleet.cpp
+++ b/Tests/Scenarios/Fleet.cpp
@@ -55,17 +55,22 @@
         m_targets.push_back({freeEndpoint(), nullptr});
         startTarget(i);
     }
+    for (unsigned i = 0; i < options.vmCount; ++i)
+        m_vms.push_back({freeEndpoint(), freeEndpoint(), freeEndpoint(), {}, nullptr});
+    std::string seeds;
+    for (const auto &it : m_vms)
+        seeds += (seeds.empty() ? "" : ", ") + ('"' + it.peer.toString() + '"');
     for (unsigned i = 0; i < options.vmCount; ++i) {
-        Vm vm{freeEndpoint(), freeEndpoint(), {}, nullptr};
+        auto &vm = m_vms[i];
         std::ostringstream text;
         text << "vm: vm-" << i << "\nzone: kolkata-dc\n"
              << "caller_endpoint: " << vm.caller.toString() << '\n'
              << "admin_endpoint: " << vm.admin.toString() << '\n'
-             << "peer_endpoint: " << freeEndpoint().toString() << '\n'
+             << "peer_endpoint: " << vm.peer.toString() << '\n'
+             << (options.seedPeers ? "seed_peers: [" + seeds + "]\n" : "")
              << "platform_endpoint: " << m_platformEndpoint.toString() << '\n'
              << m_options.extraSettings;
         vm.settingsFile = writeFile("vm-" + std::to_string(i) + ".yaml", text.str());
-        m_vms.push_back(std::move(vm));
         restartVm(i);
     }
     for (std::size_t i = 0; i < m_vms.size(); ++i)
@@ -163,10 +168,33 @@
     return answer ? answer.value().body : std::string();
 }
 
-PresetVersion Fleet::versionOf(std::size_t vmIndex)
+std::uint64_t Fleet::statusNumber(std::size_t vmIndex, const std::string &name)
+{
+    const auto object = nlohmann::json::parse(admin(vmIndex, "/status"), nullptr, false);
+    return object.is_object() ? object.value(name, std::uint64_t(0)) : 0;
+}
+
+std::size_t Fleet::memberCount(std::size_t vmIndex)
 {
     const auto object = nlohmann::json::parse(admin(vmIndex, "/status"), nullptr, false);
-    return object.is_object() ? object.value("version", PresetVersion(0)) : 0;
+    return object.is_object() && object.contains("members") ? object["members"].size() : 0;
+}
+
+PresetVersion Fleet::versionOf(std::size_t vmIndex)
+{
+    return statusNumber(vmIndex, "version");
+}
+
+bool Fleet::setFaults(const std::string &json)
+{
+    const auto answer = callAdmin(m_platformEndpoint, {"POST", "/faults", json});
+    return answer && answer.value().status == 200;
+}
+
+bool Fleet::setVmList(const std::string &json)
+{
+    const auto answer = callAdmin(m_platformEndpoint, {"PUT", "/vms", json});
+    return answer && answer.value().status == 200;
 }
 
 bool Fleet::eventually(const std::function<bool()> &condition, Duration timeout)
--- a/Tests/Scenarios/Fleet.h
+++ b/Tests/Scenarios/Fleet.h
@@ -22,6 +22,8 @@
     std::string serviceTime = "5ms";
     /** Lines added to each VM's settings. */
     std::string extraSettings = {};
+    /** Whether each VM's settings name all VMs as seed peers. */
+    bool seedPeers = false;
     /** Lines added to the service in each preset, indented by four. */
     std::string extraPolicy = {};
 };
@@ -51,6 +53,11 @@
     Endpoint targetEndpoint(std::size_t index) const { return m_targets[index].endpoint; }
     Endpoint platformEndpoint() const { return m_platformEndpoint; }
 
+    /** Changes faults of the platform. @return whether the platform took them. */
+    bool setFaults(const std::string &json);
+    /** Replaces the platform's VM list. @return whether the platform took it. */
+    bool setVmList(const std::string &json);
+
     /** Starts a VM again with the same settings. */
     void restartVm(std::size_t index);
     void restartTarget(std::size_t index);
@@ -66,6 +73,10 @@
     std::optional<Answer> call(std::size_t vmIndex, const CallerRequest &request = {});
     /** @return body of a GET at the VM's admin endpoint, empty if it cannot be reached. */
     std::string admin(std::size_t vmIndex, const std::string &path);
+    /** @return a number from the VM's status, 0 if it cannot be reached. */
+    std::uint64_t statusNumber(std::size_t vmIndex, const std::string &name);
+    /** @return members in the VM's status. */
+    std::size_t memberCount(std::size_t vmIndex);
     /** @return version that the VM applies, 0 if it cannot be reached. */
     PresetVersion versionOf(std::size_t vmIndex);
 
@@ -78,6 +89,7 @@
     {
         Endpoint caller;
         Endpoint admin;
+        Endpoint peer;
         std::string settingsFile;
         std::unique_ptr<ChildProcess> process;
     };
