--- a/Source/Main/VmProcess.h
+++ b/Source/Main/VmProcess.h
@@ -68,6 +68,7 @@
     TableClient m_tables;
     ObjectClient m_objects;
     PresetStoreClient m_presets;
+    ClaimStoreClient m_claims;
     MemberClient m_members;
     VmListClient m_vmList;
     HttpTransport m_transport;
