Process: Tell each report of a member six times

Cause: every digest repeated all members, so 14 VMs without traffic cost up to 6,072 bytes a second of messages each, above the 5 KB/s allowed.

Change: a report of a member goes into six digests of a VM, and a VM counts a heartbeat for each heartbeat interval and no longer for each exchange. A VM that is new to the answering one is told everything. Marks of targets are still told in every digest.

--- a/Source/Process/ControlState.cpp
+++ b/Source/Process/ControlState.cpp
@@ -202,7 +202,7 @@
     else if (inForce.version > 0)
         m_metrics.recordOlderVersion();
     if (message.reply)
-        message.reply(m_fleet.digest(applied()));
+        message.reply(m_fleet.answer(applied()));
 }
 
 void ControlState::onPresetPushed(const PresetPushed &message)
--- a/Source/Process/DigestState.cpp
+++ b/Source/Process/DigestState.cpp
@@ -1,6 +1,7 @@
 #include "Process/Process.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Sapphireladder {
 
@@ -27,21 +28,25 @@
     return inForceOverhead + inForce.preset.view().size() + inForce.digest.view().size();
 }
 
-/** Appends the newest items that fit. @return bytes used. */
+/** Appends the newest items that fit and were told fewer times than the limit. @return bytes used.
+ */
 template<typename Map, typename Item>
-std::size_t takeNewest(const Map &noted, std::size_t space, std::vector<Item> &out)
+std::size_t takeNewest(Map &noted, std::size_t space, unsigned tellLimit, std::vector<Item> &out)
 {
-    std::vector<const typename Map::mapped_type *> newest;
-    for (const auto &[key, value] : noted)
-        newest.push_back(&value);
+    std::vector<typename Map::mapped_type *> newest;
+    for (auto &[key, value] : noted) {
+        if (value.told < tellLimit)
+            newest.push_back(&value);
+    }
     std::sort(newest.begin(), newest.end(),
               [](const auto *a, const auto *b) { return a->sequence > b->sequence; });
     std::size_t used = 0;
-    for (const auto *it : newest) {
+    for (auto *it : newest) {
         const auto size = sizeOf(it->item);
         if (used + size > space)
             break;
         used += size;
+        ++it->told;
         out.push_back(it->item);
     }
     return used;
@@ -51,7 +56,7 @@
 
 void DigestState::noteMember(const Member &member)
 {
-    m_members[member.vm] = {member, ++m_sequence};
+    m_members[member.vm] = {member, ++m_sequence, 0};
 }
 
 void DigestState::forgetMember(const VmId &vm)
@@ -61,10 +66,10 @@
 
 void DigestState::noteMark(const TargetMark &mark)
 {
-    m_marks[{mark.service, mark.target}] = {mark, ++m_sequence};
+    m_marks[{mark.service, mark.target}] = {mark, ++m_sequence, 0};
 }
 
-Digest DigestState::build(const Member &sender, const InForce &inForce) const
+Digest DigestState::build(const Member &sender, const InForce &inForce, DigestExtent extent)
 {
     Digest digest;
     digest.sender = sender;
@@ -72,8 +77,11 @@
     digest.inForce.digest = inForce.digest;
     const auto fixed = sizeBound(digest);
     const auto space = sizeLimit - std::min(fixed, sizeLimit);
-    const auto used = takeNewest(m_marks, space / 2, digest.marks);
-    takeNewest(m_members, space - used, digest.members);
+    // Marks are few, and one that a VM missed has no later report that would repeat it.
+    constexpr auto unlimited = std::numeric_limits<unsigned>::max();
+    const auto used = takeNewest(m_marks, space / 2, unlimited, digest.marks);
+    takeNewest(m_members, space - used, extent == DigestExtent::Everything ? unlimited : tellLimit,
+               digest.members);
     return digest;
 }
 
--- a/Source/Process/DigestState.h
+++ b/Source/Process/DigestState.h
@@ -7,12 +7,25 @@
 
 namespace Sapphireladder {
 
+/** What a digest carries of the members. */
+enum class DigestExtent {
+    /** Only what this VM has not told often yet. */
+    News,
+    /** Everything that fits, for a VM that is new to this one. */
+    Everything,
+};
+
 /** Keeps what digests carry, ordered by when this VM learned it. */
 class DigestState
 {
 public:
     /** Largest encoded digest in bytes; one datagram's worth. */
     static constexpr std::size_t sizeLimit = 1400;
+    /**
+     * Digests that carry one report of a member. Each VM that learns of it tells about six others,
+     * which leaves out one VM in 400; the next heartbeat reaches that one.
+     */
+    static constexpr unsigned tellLimit = 6;
 
     void noteMember(const Member &member);
     /** Leaves a silent member out of later digests. */
@@ -25,7 +38,8 @@
      * @param sender this VM
      * @param inForce version and digest that this VM applies
      */
-    Digest build(const Member &sender, const InForce &inForce) const;
+    Digest build(const Member &sender, const InForce &inForce,
+                 DigestExtent extent = DigestExtent::News);
 
     /** @return upper bound of the encoded size of a digest in bytes. */
     static std::size_t sizeBound(const Digest &digest);
@@ -36,6 +50,7 @@
     {
         Item item;
         std::uint64_t sequence = 0;
+        unsigned told = 0;
     };
     using MarkKey = std::pair<ServiceName, TargetId>;
 
--- a/Source/Process/FleetControl.cpp
+++ b/Source/Process/FleetControl.cpp
@@ -26,6 +26,7 @@
     exchangeIfDue(applied, now);
     if (now >= m_nextHeartbeat) {
         m_nextHeartbeat = now + jittered(m_settings.heartbeatInterval);
+        m_membership.beat();
         m_actions.writeHeartbeat(self());
     }
     if (now >= m_nextShardRead) {
@@ -56,8 +57,7 @@
     m_hurry = false;
     m_nextHurry = now + hurryInterval;
     m_nextExchange = now + jittered(m_settings.digestInterval);
-    m_membership.beat();
-    const auto message = digest(applied);
+    const auto message = m_digests.build(self(), applied);
     for (const auto &it : m_membership.choosePeers(fanOut, m_settings.seedPeers, now, m_random))
         m_actions.exchange(it, message);
 }
@@ -72,6 +72,7 @@
 
 bool FleetControl::hear(const Digest &digest, TimePoint now)
 {
+    m_senderIsNew = m_membership.isUnknown(digest.sender.vm);
     hear(std::span(&digest.sender, 1), now);
     hear(digest.members, now);
     bool changed = false;
@@ -112,6 +113,12 @@
     return true;
 }
 
+Digest FleetControl::answer(const InForce &applied)
+{
+    return m_digests.build(self(), applied,
+                           m_senderIsNew ? DigestExtent::Everything : DigestExtent::News);
+}
+
 std::vector<Endpoint> FleetControl::peers(TimePoint now)
 {
     return m_membership.choosePeers(pushLimit, m_settings.seedPeers, now, m_random);
@@ -127,7 +134,7 @@
 {
     m_stopped = true;
     m_membership.stop();
-    const auto message = digest(applied);
+    const auto message = m_digests.build(self(), applied);
     for (const auto &it : peers(now))
         m_actions.exchange(it, message);
     m_actions.removeHeartbeat(self());
--- a/Source/Process/FleetControl.h
+++ b/Source/Process/FleetControl.h
@@ -67,8 +67,8 @@
     /** Takes a mark from any source. @return whether it changed. */
     bool hear(const TargetMark &mark);
 
-    /** @return the digest to send now. */
-    Digest digest(const InForce &applied) const { return m_digests.build(self(), applied); }
+    /** @return the answer to the digest that was heard last. */
+    Digest answer(const InForce &applied);
     /** Tells peers of a switch that this VM ran. */
     void push(const InForce &inForce, TimePoint now);
     /** Lets the next tick exchange digests, because there is news. */
@@ -103,6 +103,7 @@
     TimePoint m_nextVmListRead{};
     unsigned m_shard = 0;
     unsigned m_shardsRead = 0;
+    bool m_senderIsNew = false;
     bool m_hurry = false;
     bool m_stopped = false;
 };
--- a/Source/Process/Membership.cpp
+++ b/Source/Process/Membership.cpp
@@ -43,6 +43,12 @@
     return joined ? MemberNews::Joined : MemberNews::Progress;
 }
 
+bool Membership::isUnknown(const VmId &vm) const
+{
+    const auto it = m_records.find(vm);
+    return it == m_records.end() || it->second.lost;
+}
+
 void Membership::forgetOldest()
 {
     const auto it = std::min_element(
--- a/Source/Process/Membership.h
+++ b/Source/Process/Membership.h
@@ -41,6 +41,9 @@
      */
     MemberNews hear(const Member &member, TimePoint now);
 
+    /** @return whether the VM was never heard of, or is silent. */
+    bool isUnknown(const VmId &vm) const;
+
     /** @return members that became silent since the last call. */
     std::vector<Member> takeLost(TimePoint now);
 
--- a/Tests/Process/MembershipTest.cpp
+++ b/Tests/Process/MembershipTest.cpp
@@ -89,6 +89,20 @@
     CHECK(digest.members.front().vm == VmId("vm-399"));
 }
 
+// Guards against control traffic that repeats all members forever, and against a new VM that is
+// told only the latest news.
+TEST_CASE_FIXTURE(MembershipFixture, "digest, with a member told often, names it to new VMs only")
+{
+    DigestState state;
+    state.noteMember(member(1, 1, 1));
+    for (unsigned i = 0; i < DigestState::tellLimit; ++i)
+        CHECK(state.build(member(0, 5, 1), {}).members.size() == 1);
+    CHECK(state.build(member(0, 5, 1), {}).members.empty());
+    CHECK(state.build(member(0, 5, 1), {}, DigestExtent::Everything).members.size() == 1);
+    state.noteMember(member(1, 1, 2));
+    CHECK(state.build(member(0, 5, 1), {}).members.size() == 1);
+}
+
 // Guards against a lagging list or a late digest that sends work to a leaving target again (H5).
 TEST_CASE("target marks, with a late live report, are undone by a newer incarnation only")
 {
