Process: Follow the linter in the fleet's control

Change: a copy in place of a move of a trivially copyable value, and no forward declarations that the header does not use.

--- a/Source/Process/FleetControl.cpp
+++ b/Source/Process/FleetControl.cpp
@@ -5,7 +5,7 @@
 FleetControl::FleetControl(const Settings &settings, Member self, RandomSource random,
                            PeerActions &actions, EventSink &events)
     : m_settings(settings)
-    , m_random(std::move(random))
+    , m_random(random)
     , m_actions(actions)
     , m_events(events)
     , m_membership(std::move(self))
--- a/Source/Process/Grpc/PeerServer.h
+++ b/Source/Process/Grpc/PeerServer.h
@@ -6,11 +6,6 @@
 #include <memory>
 #include <thread>
 
-namespace grpc {
-class Server;
-class ServerCompletionQueue;
-} // namespace grpc
-
 namespace Sapphireladder {
 
 /** Takes one control message. Returns false if it cannot be taken; the call then fails. */
