--- a/Source/Process/FleetControl.cpp
+++ b/Source/Process/FleetControl.cpp
@@ -5,7 +5,7 @@
 FleetControl::FleetControl(const Settings &settings, Member self, RandomSource random,
                            PeerActions &actions, EventSink &events)
     : m_settings(settings)
-    , m_random(std::move(random))
+    , m_random(random)
     , m_actions(actions)
     , m_events(events)
     , m_membership(std::move(self))
@@ -26,6 +26,7 @@
     exchangeIfDue(applied, now);
     if (now >= m_nextHeartbeat) {
         m_nextHeartbeat = now + jittered(m_settings.heartbeatInterval);
+        m_membership.beat();
         m_actions.writeHeartbeat(self());
     }
     if (now >= m_nextShardRead) {
@@ -38,7 +39,12 @@
         ++m_shardsRead;
     }
     if (now >= m_nextVmListRead) {
-        m_nextVmListRead = now + jittered(vmListInterval);
+        // VMs that started together would otherwise all read at the same moment, and a change of
+        // the list would wait for a whole interval instead of a share of it.
+        const bool isFirst = m_nextVmListRead == TimePoint{};
+        m_nextVmListRead = now
+                           + (isFirst ? duration_cast<Duration>(vmListInterval * m_random.unit())
+                                      : jittered(vmListInterval));
         m_actions.readVmList();
     }
 }
@@ -51,8 +57,7 @@
     m_hurry = false;
     m_nextHurry = now + hurryInterval;
     m_nextExchange = now + jittered(m_settings.digestInterval);
-    m_membership.beat();
-    const auto message = digest(applied);
+    const auto message = m_digests.build(self(), applied);
     for (const auto &it : m_membership.choosePeers(fanOut, m_settings.seedPeers, now, m_random))
         m_actions.exchange(it, message);
 }
@@ -67,6 +72,7 @@
 
 bool FleetControl::hear(const Digest &digest, TimePoint now)
 {
+    m_senderIsNew = m_membership.isUnknown(digest.sender.vm);
     hear(std::span(&digest.sender, 1), now);
     hear(digest.members, now);
     bool changed = false;
@@ -107,6 +113,12 @@
     return true;
 }
 
+Digest FleetControl::answer(const InForce &applied)
+{
+    return m_digests.build(self(), applied,
+                           m_senderIsNew ? DigestExtent::Everything : DigestExtent::News);
+}
+
 std::vector<Endpoint> FleetControl::peers(TimePoint now)
 {
     return m_membership.choosePeers(pushLimit, m_settings.seedPeers, now, m_random);
@@ -122,7 +134,7 @@
 {
     m_stopped = true;
     m_membership.stop();
-    const auto message = digest(applied);
+    const auto message = m_digests.build(self(), applied);
     for (const auto &it : peers(now))
         m_actions.exchange(it, message);
     m_actions.removeHeartbeat(self());
