--- /dev/null
+++ b/Source/Connection/Http/AcceptSocket.cpp
@@ -0,0 +1,64 @@
+#include "Connection/Http/ConnectionHttp.h"
+
+#include <Poco/Exception.h>
+
+#include <array>
+#include <cerrno>
+
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+namespace Sapphireladder {
+
+Result<std::unique_ptr<AcceptSocket>> AcceptSocket::create(const Endpoint &endpoint)
+{
+    std::unique_ptr<AcceptSocket> result(new AcceptSocket);
+    try {
+        auto &socket = result->m_socket;
+        socket.bind(Poco::Net::SocketAddress(endpoint.host, endpoint.port), true);
+        socket.listen(SOMAXCONN);
+        // A caller can be gone between the poll and the accept, which would then wait.
+        socket.setBlocking(false);
+    } catch (const Poco::Exception &) {
+        return makeError(ConnectionError::ListenFailed, endpoint.toString());
+    }
+    return result;
+}
+
+AcceptSocket::Accepted AcceptSocket::accept(int &fd)
+{
+    while (true) {
+        fd = ::accept4(m_socket.impl()->sockfd(), nullptr, nullptr, SOCK_CLOEXEC);
+        if (fd >= 0)
+            return Accepted::Connection;
+        switch (errno) {
+        case EMFILE:
+        case ENFILE:
+        case ENOBUFS:
+        case ENOMEM:
+            return Accepted::NoResources;
+        case EINTR:
+        case ECONNABORTED:
+            continue;
+        default:
+            return Accepted::NoneWaiting;
+        }
+    }
+}
+
+void AcceptSocket::ignoreNewConnections()
+{
+    // A filter that keeps no byte of any packet. The callers' kernels try again and then find the
+    // port closed.
+    std::array<sock_filter, 1> code{{{BPF_RET | BPF_K, 0, 0, 0}}};
+    const sock_fprog program{static_cast<unsigned short>(code.size()), code.data()};
+    ::setsockopt(m_socket.impl()->sockfd(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+}
+
+Endpoint AcceptSocket::endpoint() const
+{
+    const auto address = m_socket.address();
+    return {address.host().toString(), address.port()};
+}
+
+} // namespace Sapphireladder
--- a/Source/Connection/Http/CallerConnection.cpp
+++ b/Source/Connection/Http/CallerConnection.cpp
@@ -1,123 +1,124 @@
 #include "Connection/Http/ConnectionHttp.h"
 
-#include <Poco/Exception.h>
-#include <Poco/Net/NetException.h>
-
-#include <istream>
-
 namespace Sapphireladder {
 
 namespace {
 
-Poco::Net::HTTPServerParams::Ptr sessionParams()
+/** @return what a caller is told whose request could not be read. */
+RefusalReason refusalOf(const Error &error)
 {
-    Poco::Net::HTTPServerParams::Ptr params(new Poco::Net::HTTPServerParams);
-    params->setKeepAlive(true);
-    params->setMaxKeepAliveRequests(0);
-    return params;
+    struct Row
+    {
+        ConnectionError code;
+        RefusalReason reason;
+    };
+    static constexpr Row rows[] = {
+            {ConnectionError::HeadTooLarge, RefusalReason::HeaderTooLarge},
+            {ConnectionError::BodyTooLarge, RefusalReason::BodyTooLarge},
+            {ConnectionError::BadFraming, RefusalReason::BadFraming},
+            {ConnectionError::HeadMalformed, RefusalReason::BadRequest},
+            {ConnectionError::DeadlinePassed, RefusalReason::RequestTimeout},
+            {ConnectionError::MessageCut, RefusalReason::RequestCut},
+            {ConnectionError::ConnectionReset, RefusalReason::RequestCut},
+    };
+    for (const auto &it : rows) {
+        if (error.code == it.code)
+            return it.reason;
+    }
+    return RefusalReason::BadRequest;
 }
 
-/** The caller went away while it was sending; there is nobody to answer. */
-struct CallerGone
-{};
-
 } // namespace
 
 CallerConnection::CallerConnection(const Poco::Net::StreamSocket &socket,
-                                   CountingSocketImpl *counter, const CallerLimits &limits)
-    : m_counter(counter)
+                                   CountingSocketImpl *connection, const CallerLimits &limits,
+                                   const std::atomic<bool> &closing)
+    : m_socket(socket)
+    , m_connection(connection)
     , m_limits(limits)
-    , m_session(socket, sessionParams())
-    , m_idleSince(SteadyClock().now())
+    , m_closing(closing)
+    , m_reader(*connection)
+    , m_readableSince(SteadyClock().now())
+    , m_idleSince(m_readableSince)
 {}
 
-bool CallerConnection::serveOne(TrafficService &service, RandomSource &random)
+AfterRequest CallerConnection::serveOne(TrafficService &service, RandomSource &random)
 {
-    const auto arrival = SteadyClock().now();
-    m_counter->setDeadline(arrival + m_limits.readTimeout);
-    m_requestWasRead = false;
-    try {
-        const bool keep = serveRequest(service, random, arrival);
-        m_idleSince = SteadyClock().now();
-        return keep;
-    } catch (const CallerGone &) {
-        return false;
-    } catch (const Poco::Exception &) {
-        return false;
-    }
+    Request request;
+    // The start of a pipelined request was read together with the request before it.
+    request.arrival = m_reader.hasBufferedInput() ? m_reader.lastReceiveAt() : m_readableSince;
+    m_connection->setDeadline(SteadyClock().now() + m_limits.readTimeout);
+    const auto outcome = outcomeOf(request, service, random);
+    if (!outcome)
+        return AfterRequest::Drop;
+    const bool keep = request.isRead && keepsConnection(request.message) && !m_closing
+                      && !service.isStopping();
+    const auto after = answer(request, *outcome, keep);
+    m_idleSince = SteadyClock().now();
+    service.recordOutcome(*outcome, m_idleSince - request.arrival);
+    return after;
 }
 
-bool CallerConnection::serveRequest(TrafficService &service, RandomSource &random,
-                                    TimePoint arrival)
+std::optional<RequestOutcome> CallerConnection::outcomeOf(Request &request, TrafficService &service,
+                                                          RandomSource &random)
 {
-    Poco::Net::HTTPServerResponseImpl response(m_session);
-    RequestId requestId;
-    RequestOutcome outcome = Refusal{RefusalReason::BadRequest};
-    std::unique_ptr<Poco::Net::HTTPServerRequestImpl> request;
-    try {
-        request = std::make_unique<Poco::Net::HTTPServerRequestImpl>(response, m_session, nullptr);
-        outcome = outcomeOf(*request, service, random, arrival, requestId);
-    } catch (const Poco::Net::NoMessageException &) {
-        return false;
-    } catch (const Poco::Net::MessageException &) {
-        // The head is not HTTP. The caller is told so, and the connection is closed.
+    const auto head = m_reader.readHead(maxHeadSize);
+    if (!head) {
+        // Nothing of a request was sent.
+        if (head.error().code == ConnectionError::PeerClosed)
+            return std::nullopt;
+        return Refusal{refusalOf(head.error())};
     }
-    const bool keep = request && m_requestWasRead && request->getKeepAlive()
-                      && !service.isStopping();
-    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
-    response.setKeepAlive(keep);
-    constexpr auto writeTimeout = std::chrono::seconds(10);
-    m_counter->setDeadline(SteadyClock().now() + writeTimeout);
-    writeOutcome(outcome, requestId, response);
-    service.recordOutcome(outcome, SteadyClock().now() - arrival);
-    return keep;
+    if (!parseRequestHead(head.value(), request.message))
+        return Refusal{RefusalReason::BadRequest};
+    return serve(request, service, random);
 }
 
-RequestOutcome CallerConnection::outcomeOf(Poco::Net::HTTPServerRequestImpl &request,
-                                           TrafficService &service, RandomSource &random,
-                                           TimePoint arrival, RequestId &requestId)
+RequestOutcome CallerConnection::serve(Request &request, TrafficService &service,
+                                       RandomSource &random)
 {
+    const auto framing = framingOf(request.message);
+    if (!framing)
+        return Refusal{RefusalReason::BadFraming};
+    request.isRead = framing->kind == FramingKind::None;
     const auto snapshot = service.preset();
     if (!snapshot)
         return Refusal{RefusalReason::NoPreset};
-    auto mapped = mapRequest(request, *snapshot, arrival, random);
+    auto mapped = mapRequest(request.message, *snapshot, request.arrival, random);
     if (const auto *reason = std::get_if<RefusalReason>(&mapped))
         return Refusal{*reason};
     auto &[info, policy, headers] = std::get<MappedRequest>(mapped);
-    requestId = info.id;
-    const auto body = readBody(request);
-    if (const auto *reason = std::get_if<RefusalReason>(&body))
-        return Refusal{*reason};
-    m_requestWasRead = true;
-    const auto &text = std::get<std::string>(body);
-    info.fingerprint = fingerprintOf(info, text);
-    return service.serve(info, *policy, headers, text);
+    request.id = info.id;
+    const auto body = readBody(request, *framing);
+    if (!body)
+        return Refusal{refusalOf(body.error())};
+    request.isRead = true;
+    if (SteadyClock().now() >= info.deadline)
+        return Refusal{RefusalReason::DeadlineExpired};
+    info.fingerprint = fingerprintOf(info, body.value());
+    return service.serve(info, *policy, headers, body.value());
 }
 
-CallerConnection::BodyOrRefusal
-CallerConnection::readBody(Poco::Net::HTTPServerRequestImpl &request)
+Result<std::string> CallerConnection::readBody(const Request &request,
+                                               const MessageFraming &framing)
 {
-    const bool chunked = request.getChunkedTransferEncoding();
-    if (!chunked && !request.hasContentLength())
-        return std::string();
-    const auto length = chunked ? 0 : static_cast<std::uint64_t>(request.getContentLength64());
-    if (length > m_limits.bodyLimit)
-        return RefusalReason::BodyTooLarge;
-    if (request.getExpectContinue())
-        static_cast<Poco::Net::HTTPServerResponseImpl &>(request.response()).sendContinue();
-    std::string body;
-    char buf[16384];
-    auto &stream = request.stream();
-    while (stream.read(buf, sizeof buf), stream.gcount() > 0) {
-        body.append(buf, static_cast<std::size_t>(stream.gcount()));
-        if (body.size() > m_limits.bodyLimit)
-            return RefusalReason::BodyTooLarge;
+    const bool hasBody = framing.kind == FramingKind::Chunked || framing.length > 0;
+    const bool waits = hasToken(request.message, "Expect", "100-continue");
+    if (hasBody && waits && framing.length <= m_limits.bodyLimit) {
+        TRY(m_connection->sendAll("HTTP/1.1 100 Continue\r\n\r\n"));
     }
-    const bool cut = m_session.networkException() || m_counter->isPeerClosed()
-                     || (!chunked && body.size() != length);
-    if (cut)
-        throw CallerGone();
-    return body;
+    return m_reader.readBody(framing, m_limits.bodyLimit);
+}
+
+AfterRequest CallerConnection::answer(const Request &request, const RequestOutcome &outcome,
+                                      bool keep)
+{
+    const AnswerContext context{
+            request.id, request.message.getMethod() == Poco::Net::HTTPRequest::HTTP_HEAD, keep};
+    m_connection->setDeadline(SteadyClock().now() + m_limits.writeTimeout);
+    if (!m_connection->sendAll(encodeOutcome(outcome, context)))
+        return AfterRequest::Drop;
+    return keep ? AfterRequest::Keep : AfterRequest::Close;
 }
 
 } // namespace Sapphireladder
--- a/Source/Connection/Http/CallerListener.cpp
+++ b/Source/Connection/Http/CallerListener.cpp
@@ -1,57 +1,34 @@
 #include "Connection/Http/ConnectionHttp.h"
 
-#include <Poco/Exception.h>
-
-#include <sys/socket.h>
+#include <algorithm>
 
 namespace Sapphireladder {
 
 namespace {
 
-/** How long the poll thread waits before it looks for idle connections to close. */
-constexpr auto pollInterval = std::chrono::milliseconds(100);
+/** Time between two looks for connections that were idle too long. */
+constexpr auto sweepInterval = std::chrono::milliseconds(100);
 
 Poco::Timespan toTimespan(Duration duration)
 {
     return Poco::Timespan(duration_cast<std::chrono::microseconds>(duration).count());
 }
 
-/** Tells a caller beyond the connection limit that its request was not run. */
-void refuseConnection(Poco::Net::StreamSocket &socket)
-{
-    static const std::string text = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
-                                    "Sapphireladder-Outcome: not-run\r\n"
-                                    "Sapphireladder-Reason: connection-limit\r\n"
-                                    "Content-Length: 0\r\n\r\n";
-    try {
-        socket.sendBytes(text.data(), static_cast<int>(text.size()));
-        socket.shutdownSend();
-    } catch (const Poco::Exception &) {
-        // The caller is gone already.
-    }
-}
-
 } // namespace
 
 Result<std::unique_ptr<CallerListener>> CallerListener::create(const ListenerOptions &options,
                                                                TrafficService &service)
 {
+    TRY_ASSIGN(socket, AcceptSocket::create(options.endpoint));
     std::unique_ptr<CallerListener> listener(new CallerListener(options, service));
-    try {
-        const auto &endpoint = options.endpoint;
-        Poco::Net::ServerSocket socket;
-        socket.bind(Poco::Net::SocketAddress(endpoint.host, endpoint.port), true);
-        socket.listen(SOMAXCONN);
-        listener->start(socket);
-    } catch (const Poco::Exception &) {
-        return makeError(ConnectionError::ListenFailed, options.endpoint.toString());
-    }
+    listener->start(std::move(socket));
     return listener;
 }
 
 CallerListener::CallerListener(const ListenerOptions &options, TrafficService &service)
     : m_options(options)
     , m_service(service)
+    , m_lingering(m_pollSet)
 {}
 
 CallerListener::~CallerListener()
@@ -59,10 +36,10 @@
     stop();
 }
 
-void CallerListener::start(const Poco::Net::ServerSocket &socket)
+void CallerListener::start(std::unique_ptr<AcceptSocket> socket)
 {
-    m_serverSocket = socket;
-    m_pollSet.add(m_serverSocket, Poco::Net::PollSet::POLL_READ);
+    m_endpoint = socket->endpoint();
+    m_acceptSocket = std::move(socket);
     m_pollThread = std::thread([this] { pollLoop(); });
     for (unsigned i = 0; i < m_options.trafficThreads; ++i)
         m_trafficThreads.emplace_back([this] { trafficLoop(); });
@@ -70,10 +47,11 @@
 
 void CallerListener::stop()
 {
-    if (m_stopping.exchange(true))
+    if (!m_pollThread.joinable())
         return;
-    if (m_pollThread.joinable())
-        m_pollThread.join();
+    m_stopStart = SteadyClock().now();
+    m_stopping = true;
+    m_pollThread.join();
     {
         const std::lock_guard lock(m_mutex);
         m_noMoreWork = true;
@@ -81,63 +59,95 @@
     m_readyChanged.notify_all();
     for (auto &it : m_trafficThreads)
         it.join();
-    m_idle.clear();
 }
 
 void CallerListener::pollLoop()
 {
-    while (!m_stopping) {
-        const auto events = m_pollSet.poll(toTimespan(pollInterval));
-        for (const auto &[socket, mode] : events) {
-            if (socket == m_serverSocket)
-                acceptOne();
-            else
+    auto nextSweep = SteadyClock().now();
+    while (m_acceptSocket || m_connectionCount > 0 || !m_lingering.isEmpty()) {
+        if (SteadyClock().now() >= nextSweep) {
+            sweep(SteadyClock().now());
+            nextSweep = SteadyClock().now() + sweepInterval;
+        }
+        // An empty set does not wait.
+        if (m_pollSet.empty())
+            std::this_thread::sleep_until(nextSweep);
+        for (const auto &[socket, mode] : m_pollSet.poll(toTimespan(sweepInterval))) {
+            if (m_acceptSocket && socket == m_acceptSocket->socket())
+                acceptAll();
+            else if (!m_lingering.discardInput(socket))
                 dispatch(socket);
         }
-        closeIdleConnections(m_options.idleTimeout);
     }
-    // Connections that the kernel has accepted already still get their answer.
-    while (m_serverSocket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
-        acceptOne();
-    m_pollSet.remove(m_serverSocket);
-    m_serverSocket.close();
-    for (const auto &[socket, mode] : m_pollSet.poll(toTimespan(pollInterval)))
-        dispatch(socket);
 }
 
-void CallerListener::acceptOne()
+void CallerListener::sweep(TimePoint now)
 {
-    const int fd = ::accept4(m_serverSocket.impl()->sockfd(), nullptr, nullptr, SOCK_CLOEXEC);
-    if (fd < 0)
-        return;
-    auto *counter = new CountingSocketImpl(fd);
-    Poco::Net::StreamSocket socket(counter);
+    if (m_acceptSocket && m_stopping && now - m_stopStart >= m_options.stopIdleTimeout)
+        stopAccepting();
+    // acceptAll() takes it out when descriptors are short.
+    if (m_acceptSocket && !m_pollSet.has(m_acceptSocket->socket()))
+        m_pollSet.add(m_acceptSocket->socket(), Poco::Net::PollSet::POLL_READ);
+    closeIdleConnections(now);
+    m_lingering.closeExpired();
+    m_service.closeExpiredConnections();
+}
+
+void CallerListener::acceptAll()
+{
+    int fd = -1;
+    auto accepted = m_acceptSocket->accept(fd);
+    for (; accepted == AcceptSocket::Accepted::Connection; accepted = m_acceptSocket->accept(fd))
+        admit(fd);
+    if (accepted == AcceptSocket::Accepted::NoResources)
+        m_pollSet.remove(m_acceptSocket->socket());
+}
+
+void CallerListener::admit(int fd)
+{
+    auto *connection = new CountingSocketImpl(fd);
+    const Poco::Net::StreamSocket socket(connection);
     if (m_connectionCount >= m_options.maxConnections) {
-        refuseConnection(socket);
-        m_service.recordOutcome(Refusal{RefusalReason::ConnectionLimit}, Duration::zero());
+        const Refusal refusal{RefusalReason::ConnectionLimit};
+        // The poll thread does not wait for a caller. A new connection has room for the answer.
+        connection->setDeadline(TimePoint::min());
+        if (connection->sendAll(encodeOutcome(refusal, {})))
+            m_lingering.add(socket);
+        m_service.recordOutcome(refusal, Duration::zero());
         return;
     }
-    counter->setNoDelay(true);
+    connection->setNoDelay(true);
     ++m_connectionCount;
-    park(std::make_unique<CallerConnection>(socket, counter, m_options.limits));
+    park(std::make_unique<CallerConnection>(socket, connection, m_options.limits, m_stopping));
+}
+
+void CallerListener::stopAccepting()
+{
+    m_acceptSocket->ignoreNewConnections();
+    // Connections that the kernel has accepted already still get their answer.
+    acceptAll();
+    if (m_pollSet.has(m_acceptSocket->socket()))
+        m_pollSet.remove(m_acceptSocket->socket());
+    m_acceptSocket.reset();
 }
 
 void CallerListener::dispatch(const Poco::Net::Socket &socket)
 {
-    m_pollSet.remove(socket);
     {
         const std::lock_guard lock(m_mutex);
         auto node = m_idle.extract(socket);
         if (node.empty())
             return;
+        m_pollSet.remove(socket);
+        node.mapped()->setReadableSince(SteadyClock().now());
         m_ready.push_back(std::move(node.mapped()));
     }
     m_readyChanged.notify_one();
 }
 
-void CallerListener::closeIdleConnections(Duration idleTimeout)
+void CallerListener::closeIdleConnections(TimePoint now)
 {
-    const auto oldest = SteadyClock().now() - idleTimeout;
+    const auto oldest = oldestIdleAllowed(now);
     const std::lock_guard lock(m_mutex);
     for (auto it = m_idle.begin(); it != m_idle.end();) {
         if (it->second->idleSince() >= oldest) {
@@ -145,11 +155,18 @@
             continue;
         }
         m_pollSet.remove(it->first);
+        m_lingering.add(it->second->socket());
         it = m_idle.erase(it);
         --m_connectionCount;
     }
 }
 
+TimePoint CallerListener::oldestIdleAllowed(TimePoint now) const
+{
+    const bool stopAll = m_stopping && now - m_stopStart >= m_options.stopIdleTimeout;
+    return now - (stopAll ? m_options.stopIdleTimeout : m_options.idleTimeout);
+}
+
 void CallerListener::trafficLoop()
 {
     auto random = RandomSource::fromSystem();
@@ -170,13 +187,17 @@
 
 void CallerListener::serve(Connection connection, RandomSource &random)
 {
+    auto after = AfterRequest::Keep;
     do {
-        if (!connection->serveOne(m_service, random)) {
-            --m_connectionCount;
-            return;
-        }
-    } while (connection->hasBufferedInput());
-    park(std::move(connection));
+        after = connection->serveOne(m_service, random);
+    } while (after == AfterRequest::Keep && connection->hasBufferedInput());
+    if (after == AfterRequest::Keep) {
+        park(std::move(connection));
+        return;
+    }
+    if (after == AfterRequest::Close)
+        m_lingering.add(connection->socket());
+    --m_connectionCount;
 }
 
 void CallerListener::park(Connection connection)
--- a/Source/Connection/Http/CallerListener.h
+++ b/Source/Connection/Http/CallerListener.h
@@ -1,9 +1,10 @@
 #pragma once
 
+#include "Connection/Http/AcceptSocket.h"
 #include "Connection/Http/CallerConnection.h"
+#include "Connection/Http/LingeringSockets.h"
 
 #include <Poco/Net/PollSet.h>
-#include <Poco/Net/ServerSocket.h>
 
 #include <atomic>
 #include <condition_variable>
@@ -26,6 +27,11 @@
     std::size_t maxConnections = 4096;
     /** Idle connections are closed after this time. */
     Duration idleTimeout = std::chrono::seconds(60);
+    /**
+     * Time that a connection must have been idle before a stop closes it. A request that is on its
+     * way when its connection is closed would be cut.
+     */
+    Duration stopIdleTimeout = std::chrono::seconds(1);
     CallerLimits limits;
 };
 
@@ -46,21 +52,31 @@
                                                           TrafficService &service);
     ~CallerListener();
 
-    /** Stops accepting, lets requests in flight end and closes every connection. Then returns. */
+    /**
+     * Stops in steps that cut no request: each further answer closes its connection, connections
+     * are accepted for the stop's idle timeout, and idle ones are closed after it. Returns when
+     * requests in flight have ended and every connection is closed.
+     */
     void stop();
 
     /** @return connections open now. */
     std::size_t connectionCount() const { return m_connectionCount; }
+    /** @return the address that it listens on. */
+    Endpoint endpoint() const { return m_endpoint; }
 
 private:
     using Connection = std::unique_ptr<CallerConnection>;
 
     CallerListener(const ListenerOptions &options, TrafficService &service);
-    void start(const Poco::Net::ServerSocket &socket);
+    void start(std::unique_ptr<AcceptSocket> socket);
     void pollLoop();
-    void acceptOne();
+    void sweep(TimePoint now);
+    void acceptAll();
+    void admit(int fd);
+    void stopAccepting();
     void dispatch(const Poco::Net::Socket &socket);
-    void closeIdleConnections(Duration idleTimeout);
+    void closeIdleConnections(TimePoint now);
+    TimePoint oldestIdleAllowed(TimePoint now) const;
     void trafficLoop();
     Connection nextReady();
     void serve(Connection connection, RandomSource &random);
@@ -68,9 +84,14 @@
 
     ListenerOptions m_options;
     TrafficService &m_service;
-    Poco::Net::ServerSocket m_serverSocket;
+    Endpoint m_endpoint;
+    /** Null once no more connections are accepted. Used by the poll thread only. */
+    std::unique_ptr<AcceptSocket> m_acceptSocket;
     Poco::Net::PollSet m_pollSet;
+    LingeringSockets m_lingering;
     std::atomic<std::size_t> m_connectionCount{0};
+    /** Written before m_stopping is set. */
+    TimePoint m_stopStart;
     std::atomic<bool> m_stopping{false};
 
     std::mutex m_mutex;
--- a/Source/Connection/Http/ConnectionHttp.h
+++ b/Source/Connection/Http/ConnectionHttp.h
@@ -3,6 +3,7 @@
 /** @file Public header of HTTP connections to callers and to targets. */
 
 #include "Connection/Connection.h"
+#include "Connection/Http/AcceptSocket.h"
 #include "Connection/Http/CallerConnection.h"
 #include "Connection/Http/CallerListener.h"
 #include "Connection/Http/ConnectionError.h"
@@ -10,6 +11,8 @@
 #include "Connection/Http/CountingSocketImpl.h"
 #include "Connection/Http/HttpExchange.h"
 #include "Connection/Http/HttpTransport.h"
+#include "Connection/Http/LingeringSockets.h"
+#include "Connection/Http/MessageReader.h"
 #include "Connection/Http/TrafficService.h"
 #include "Connection/Http/UpstreamSession.h"
 #include "Request/Http/RequestHttp.h"
--- a/Source/Connection/Http/ConnectionPool.cpp
+++ b/Source/Connection/Http/ConnectionPool.cpp
@@ -4,48 +4,98 @@
 
 namespace Sapphireladder {
 
-std::unique_ptr<UpstreamSession> ConnectionPool::take(const Endpoint &endpoint, bool idempotent)
+std::unique_ptr<UpstreamSession> ConnectionPool::take(const Endpoint &endpoint, Reuse reuse)
 {
-    // Closed after the lock is given back.
-    Sessions unusable;
-    const std::lock_guard lock(m_mutex);
-    auto &sessions = m_idle[endpoint];
-    while (!sessions.empty()) {
-        // The newest answer is at the back, and is the likeliest to be alive.
-        auto session = std::move(sessions.back());
-        sessions.pop_back();
-        const auto now = m_clock.now();
-        if (!mayKeep(session->record(), now) || session->hasUnexpectedInput()) {
-            unusable.push_back(std::move(session));
-            continue;
-        }
-        if (mayReuse(session->record(), idempotent, now))
+    while (auto session = popNewest(endpoint, reuse)) {
+        // Looked at without the lock, since it is a system call.
+        if (!session->hasUnexpectedInput())
             return session;
-        sessions.push_back(std::move(session));
-        return nullptr;
     }
     return nullptr;
 }
 
-void ConnectionPool::give(const Endpoint &endpoint, std::unique_ptr<UpstreamSession> session)
+ConnectionPool::Session ConnectionPool::popNewest(const Endpoint &endpoint, Reuse reuse)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_targets.find(endpoint);
+    if (it == m_targets.end())
+        return nullptr;
+    auto &idle = it->second.idle;
+    if (idle.empty() || !mayReuse(idle.back()->record(), reuse, m_clock.now()))
+        return nullptr;
+    auto session = std::move(idle.back());
+    idle.pop_back();
+    return session;
+}
+
+Result<std::unique_ptr<UpstreamSession>> ConnectionPool::open(const Endpoint &endpoint,
+                                                              TimePoint deadline)
+{
+    std::shared_ptr<std::atomic<std::size_t>> count;
+    {
+        Session oldest;
+        const std::lock_guard lock(m_mutex);
+        auto &[idle, open] = m_targets[endpoint];
+        count = open;
+        if (*open >= maxConnectionsPerTarget && !idle.empty()) {
+            oldest = std::move(idle.front());
+            idle.erase(idle.begin());
+        }
+    }
+    TRY_ASSIGN(session, UpstreamSession::create(endpoint, deadline));
+    session->countIn(std::move(count));
+    return session;
+}
+
+void ConnectionPool::give(const Endpoint &endpoint, Session session)
 {
+    Session oldest;
     auto &record = session->record();
     record.lastAnswerAt = m_clock.now();
     ++record.answers;
     const std::lock_guard lock(m_mutex);
-    m_idle[endpoint].push_back(std::move(session));
+    auto &[idle, open] = m_targets[endpoint];
+    idle.push_back(std::move(session));
+    if (*open > maxConnectionsPerTarget) {
+        oldest = std::move(idle.front());
+        idle.erase(idle.begin());
+    }
 }
 
 void ConnectionPool::dropSilentSince(const Endpoint &endpoint, TimePoint time)
 {
-    Sessions dropped;
+    std::vector<Session> dropped;
     const std::lock_guard lock(m_mutex);
-    auto &sessions = m_idle[endpoint];
+    auto &idle = m_targets[endpoint].idle;
     const auto firstDropped = std::stable_partition(
-            sessions.begin(), sessions.end(),
+            idle.begin(), idle.end(),
             [time](const auto &it) { return it->record().lastAnswerAt >= time; });
-    std::move(firstDropped, sessions.end(), std::back_inserter(dropped));
-    sessions.erase(firstDropped, sessions.end());
+    std::move(firstDropped, idle.end(), std::back_inserter(dropped));
+    idle.erase(firstDropped, idle.end());
+}
+
+void ConnectionPool::closeExpired()
+{
+    std::vector<Session> expired;
+    const auto now = m_clock.now();
+    const std::lock_guard lock(m_mutex);
+    for (auto it = m_targets.begin(); it != m_targets.end();) {
+        auto &idle = it->second.idle;
+        const auto firstExpired = std::stable_partition(
+                idle.begin(), idle.end(),
+                [now](const auto &session) { return mayKeep(session->record(), now); });
+        std::move(firstExpired, idle.end(), std::back_inserter(expired));
+        idle.erase(firstExpired, idle.end());
+        // Replaced targets would otherwise leave an entry each for the life of the process.
+        it = idle.empty() && *it->second.open == 0 ? m_targets.erase(it) : std::next(it);
+    }
+}
+
+std::size_t ConnectionPool::openCount(const Endpoint &endpoint) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_targets.find(endpoint);
+    return it == m_targets.end() ? 0 : it->second.open->load();
 }
 
 } // namespace Sapphireladder
--- a/Source/Connection/Http/CountingSocketImpl.cpp
+++ b/Source/Connection/Http/CountingSocketImpl.cpp
@@ -1,47 +1,85 @@
 #include "Connection/Http/ConnectionHttp.h"
 
-#include <Poco/Exception.h>
+#include <cerrno>
+
+#include <poll.h>
+#include <sys/socket.h>
 
 namespace Sapphireladder {
 
+namespace {
+
+bool wouldBlock(int number)
+{
+    return number == EAGAIN || number == EWOULDBLOCK;
+}
+
+} // namespace
+
 CountingSocketImpl::CountingSocketImpl() = default;
 
 CountingSocketImpl::CountingSocketImpl(poco_socket_t fd)
     : StreamSocketImpl(fd)
 {}
 
-void CountingSocketImpl::resetCounts()
+Result<std::size_t> CountingSocketImpl::receive(std::span<char> buffer)
+{
+    while (true) {
+        const auto n = ::recv(sockfd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+        if (n >= 0)
+            return static_cast<std::size_t>(n);
+        if (wouldBlock(errno)) {
+            TRY(waitUntilReady(POLLIN));
+            continue;
+        }
+        if (errno != EINTR)
+            return makeError(ConnectionError::ConnectionReset);
+    }
+}
+
+Result<> CountingSocketImpl::sendAll(std::string_view bytes)
 {
-    m_bytesSent = 0;
-    m_bytesReceived = 0;
+    while (!bytes.empty()) {
+        const auto n = ::send(sockfd(), bytes.data(), bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        if (n >= 0) {
+            m_bytesSent += static_cast<std::uint64_t>(n);
+            bytes.remove_prefix(static_cast<std::size_t>(n));
+        } else if (wouldBlock(errno)) {
+            TRY(waitUntilReady(POLLOUT));
+        } else if (errno != EINTR) {
+            return makeError(ConnectionError::ConnectionReset);
+        }
+    }
+    return success();
 }
 
-int CountingSocketImpl::sendBytes(const void *buffer, int length, int flags)
+void CountingSocketImpl::closeSending()
 {
-    waitUntilReady(SELECT_WRITE);
-    const int n = StreamSocketImpl::sendBytes(buffer, length, flags);
-    m_bytesSent += static_cast<std::uint64_t>(n);
-    return n;
+    ::shutdown(sockfd(), SHUT_WR);
 }
 
-int CountingSocketImpl::receiveBytes(void *buffer, int length, int flags)
+bool CountingSocketImpl::hasPendingInput()
 {
-    waitUntilReady(SELECT_READ);
-    const int n = StreamSocketImpl::receiveBytes(buffer, length, flags);
-    if (n == 0)
-        m_peerClosed = true;
-    m_bytesReceived += static_cast<std::uint64_t>(n);
-    return n;
+    char c = 0;
+    return ::recv(sockfd(), &c, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 || !wouldBlock(errno);
 }
 
-void CountingSocketImpl::waitUntilReady(int mode)
+Result<> CountingSocketImpl::waitUntilReady(short event)
 {
-    if (m_deadline == TimePoint::max())
-        return;
-    const auto remaining = m_deadline - SteadyClock().now();
-    const auto micros = duration_cast<std::chrono::microseconds>(remaining).count();
-    if (micros <= 0 || !poll(Poco::Timespan(micros), mode))
-        throw Poco::TimeoutException("deadline of the connection passed");
+    pollfd entry{sockfd(), event, 0};
+    const timespec *timeout = nullptr;
+    timespec remaining{};
+    if (m_deadline != TimePoint::max()) {
+        const auto left = m_deadline - SteadyClock().now();
+        if (left <= Duration::zero())
+            return makeError(ConnectionError::DeadlinePassed);
+        const auto seconds = duration_cast<std::chrono::seconds>(left);
+        remaining = {seconds.count(), (left - seconds).count()};
+        timeout = &remaining;
+    }
+    if (::ppoll(&entry, 1, timeout, nullptr) == 0)
+        return makeError(ConnectionError::DeadlinePassed);
+    return success();
 }
 
 } // namespace Sapphireladder
--- a/Source/Connection/Http/HttpExchange.cpp
+++ b/Source/Connection/Http/HttpExchange.cpp
@@ -1,91 +1,110 @@
 #include "Connection/Http/ConnectionHttp.h"
 
-#include <Poco/Exception.h>
-
-#include <istream>
-#include <optional>
-#include <ostream>
+#include <sstream>
 
 namespace Sapphireladder {
 
 namespace {
 
-using Poco::Net::HTTPResponse;
+using Poco::Net::HTTPRequest;
 
 bool hasNoBody(std::string_view method, unsigned status)
 {
-    return method == "HEAD" || status == 204 || status == 304;
+    return method == HTTPRequest::HTTP_HEAD || status == 204 || status == 304;
+}
+
+std::string encode(const HTTPRequest &message, std::string_view body)
+{
+    std::ostringstream out;
+    message.write(out);
+    auto text = out.str();
+    text.append(body);
+    return text;
 }
 
-/** Reads the body. @return why the answer is not whole, or nothing. */
-std::optional<UnknownReason> readBody(std::istream &stream, UpstreamSession &session,
-                                      std::size_t limit, WholeAnswer &answer)
+/** Reads the final answer's head, past interim answers such as 103. */
+Result<> readAnswerHead(MessageReader &reader, Poco::Net::HTTPResponse &message)
 {
-    const bool chunked = answer.head.getChunkedTransferEncoding();
-    const bool hasLength = answer.head.hasContentLength();
-    if (chunked == hasLength)
-        return chunked ? UnknownReason::AnswerFraming : UnknownReason::AnswerWithoutLength;
-    const auto length = hasLength ? answer.head.getContentLength64() : 0;
-    if (length < 0)
-        return UnknownReason::AnswerFraming;
-    if (static_cast<std::uint64_t>(length) > limit)
-        return UnknownReason::AnswerTooLarge;
-    char buf[16384];
-    while (stream.read(buf, sizeof buf), stream.gcount() > 0) {
-        answer.body.append(buf, static_cast<std::size_t>(stream.gcount()));
-        if (answer.body.size() > limit)
-            return UnknownReason::AnswerTooLarge;
+    constexpr unsigned switchingProtocols = 101;
+    constexpr unsigned firstFinal = 200;
+    while (true) {
+        TRY_ASSIGN(head, reader.readHead(maxHeadSize));
+        message.clear();
+        if (!parseAnswerHead(head, message))
+            return makeError(ConnectionError::HeadMalformed);
+        const auto status = static_cast<unsigned>(message.getStatus());
+        // No request asks for another protocol.
+        if (status == switchingProtocols)
+            return makeError(ConnectionError::BadFraming);
+        if (status >= firstFinal)
+            return success();
     }
-    if (const auto *exception = session.networkException()) {
-        return dynamic_cast<const Poco::TimeoutException *>(exception)
-                       ? UnknownReason::AnswerTimeout
-                       : UnknownReason::ConnectionReset;
+}
+
+Result<WholeAnswer> readAnswer(UpstreamSession &session, std::string_view method,
+                               std::size_t bodyLimit)
+{
+    WholeAnswer answer;
+    TRY(readAnswerHead(session.reader(), answer.head));
+    const auto framing = framingOf(answer.head);
+    if (!framing)
+        return makeError(ConnectionError::BadFraming);
+    if (!hasNoBody(method, static_cast<unsigned>(answer.head.getStatus()))) {
+        if (framing->kind == FramingKind::None)
+            return makeError(ConnectionError::NoLength);
+        TRY_ASSIGN(body, session.reader().readBody(*framing, bodyLimit));
+        answer.body = std::move(body);
     }
-    if (hasLength && answer.body.size() != static_cast<std::size_t>(length))
-        return UnknownReason::AnswerCut;
-    // POCO ends a chunked body without its last chunk as if it were whole.
-    if (chunked && session.counter().isPeerClosed())
-        return UnknownReason::AnswerCut;
-    return std::nullopt;
+    answer.reusable = keepsConnection(answer.head) && !session.reader().hasBufferedInput();
+    return answer;
 }
 
-ExchangeEnd failedExchange(const UpstreamSession &session, UnknownReason reason)
+UnknownReason reasonOf(const Error &error)
 {
-    if (session.counter().bytesSent() == 0)
-        return NotRun{RetryReason::StaleConnection};
-    return Unknown{reason};
+    struct Row
+    {
+        ConnectionError code;
+        UnknownReason reason;
+    };
+    static constexpr Row rows[] = {
+            {ConnectionError::MessageCut, UnknownReason::AnswerCut},
+            {ConnectionError::DeadlinePassed, UnknownReason::AnswerTimeout},
+            {ConnectionError::HeadTooLarge, UnknownReason::AnswerTooLarge},
+            {ConnectionError::BodyTooLarge, UnknownReason::AnswerTooLarge},
+            {ConnectionError::HeadMalformed, UnknownReason::AnswerFraming},
+            {ConnectionError::BadFraming, UnknownReason::AnswerFraming},
+            {ConnectionError::NoLength, UnknownReason::AnswerWithoutLength},
+    };
+    for (const auto &it : rows) {
+        if (error.code == it.code)
+            return it.reason;
+    }
+    return UnknownReason::ConnectionReset;
 }
 
 } // namespace
 
-ExchangeEnd exchange(UpstreamSession &session, Poco::Net::HTTPRequest &message,
-                     std::string_view body, std::size_t bodyLimit, TimePoint deadline)
+ExchangeEnd exchange(UpstreamSession &session, HTTPRequest &message, std::string_view body,
+                     std::size_t bodyLimit, TimePoint deadline)
 {
-    session.counter().resetCounts();
-    session.counter().setDeadline(deadline);
-    try {
-        if (!message.has(Poco::Net::HTTPRequest::HOST))
-            message.setHost(session.socket().peerAddress().toString());
-        if (!body.empty() || message.getMethod() == Poco::Net::HTTPRequest::HTTP_POST
-            || message.getMethod() == Poco::Net::HTTPRequest::HTTP_PUT)
-            message.setContentLength64(static_cast<Poco::Int64>(body.size()));
-        auto &out = session.sendRequest(message);
-        out.write(body.data(), static_cast<std::streamsize>(body.size()));
-        out.flush();
-        WholeAnswer answer;
-        auto &in = session.receiveResponse(answer.head);
-        const auto status = static_cast<unsigned>(answer.head.getStatus());
-        if (!hasNoBody(message.getMethod(), status)) {
-            if (const auto reason = readBody(in, session, bodyLimit, answer))
-                return failedExchange(session, *reason);
-        }
-        answer.reusable = answer.head.getKeepAlive() && !session.counter().isPeerClosed();
-        return answer;
-    } catch (const Poco::TimeoutException &) {
-        return failedExchange(session, UnknownReason::AnswerTimeout);
-    } catch (const Poco::Exception &) {
-        return failedExchange(session, UnknownReason::ConnectionReset);
+    auto &connection = session.connection();
+    connection.resetCount();
+    connection.setDeadline(deadline);
+    if (!message.has(HTTPRequest::HOST))
+        message.setHost(session.endpoint().toString());
+    const auto &method = message.getMethod();
+    if (!body.empty() || method == HTTPRequest::HTTP_POST || method == HTTPRequest::HTTP_PUT
+        || method == HTTPRequest::HTTP_PATCH)
+        message.setContentLength64(static_cast<Poco::Int64>(body.size()));
+    if (const auto sent = connection.sendAll(encode(message, body)); !sent) {
+        if (connection.bytesSent() == 0)
+            return NotRun{RetryReason::StaleConnection};
+        return Unknown{reasonOf(sent.error())};
     }
+    auto answer = readAnswer(session, method, bodyLimit);
+    if (!answer)
+        return Unknown{reasonOf(answer.error())};
+    return std::move(answer.value());
 }
 
 } // namespace Sapphireladder
--- a/Source/Connection/Http/HttpTransport.cpp
+++ b/Source/Connection/Http/HttpTransport.cpp
@@ -1,5 +1,7 @@
 #include "Connection/Http/ConnectionHttp.h"
 
+#include <algorithm>
+
 namespace Sapphireladder {
 
 namespace {
@@ -16,7 +18,9 @@
         message.add(it.name, it.value);
     message.setHost(info.service.string());
     message.set(requestIdHeader, info.id.string());
-    message.set(timeoutHeader, std::to_string(toMilliseconds(info.deadline - now)));
+    // 0 would mean that the time is up.
+    const auto remaining = std::max<std::int64_t>(toMilliseconds(info.deadline - now), 1);
+    message.set(timeoutHeader, std::to_string(remaining));
     message.set(attemptHeader, std::to_string(info.attemptMark + request.attempt));
     message.set(depthHeader, std::to_string(info.depth + 1));
     if (info.key)
@@ -43,13 +47,17 @@
            && head.get(mark.header, "") == mark.value;
 }
 
-Answer decodeAnswer(WholeAnswer whole)
+Answer decodeAnswer(WholeAnswer whole, bool isHead)
 {
     Answer answer{static_cast<unsigned>(whole.head.getStatus()), {}, std::move(whole.body)};
     for (const auto &[name, value] : whole.head) {
-        if (!isHopByHopHeader(name))
+        if (!isHopByHopHeader(name) && !hasToken(whole.head, HTTPMessage::CONNECTION, name))
             answer.headers.push_back({name, value});
     }
+    // It states the length of the body that GET would give, and frames nothing here.
+    if (isHead && whole.head.hasContentLength())
+        answer.headers.push_back(
+                {HTTPMessage::CONTENT_LENGTH, whole.head.get(HTTPMessage::CONTENT_LENGTH)});
     return answer;
 }
 
@@ -64,7 +72,8 @@
     else if (isShed(whole.head, request.policy.shedMark))
         result.end = NotRun{RetryReason::Shed};
     else
-        result.end = Answered{decodeAnswer(std::move(whole))};
+        result.end = Answered{
+                decodeAnswer(std::move(whole), request.info.method == HTTPRequest::HTTP_HEAD)};
     return result;
 }
 
@@ -80,16 +89,19 @@
 {
     const auto &endpoint = request.target.endpoint;
     const auto start = m_clock.now();
-    auto session = m_pool.take(endpoint, request.info.idempotent);
+    const auto deadline = request.info.deadline;
+    const auto reuse = reuseFor(request.info, request.policy.retry, request.attempt);
+    auto session = m_pool.take(endpoint, reuse);
     const bool reused = session != nullptr;
     if (!reused) {
-        auto opened = UpstreamSession::create(endpoint, request.info.deadline);
+        auto opened = m_pool.open(endpoint, deadline);
         if (!opened)
             return {NotRun{RetryReason::ConnectFailed}, std::nullopt, false, {}};
         session = std::move(opened.value());
     }
     auto message = encodeRequest(request, m_clock.now());
-    auto end = exchange(*session, message, request.body, m_bufferLimit, request.info.deadline);
+    auto end = exchange(*session, message, request.body, m_bufferLimit,
+                        reused ? attemptDeadline(reuse, start, deadline) : deadline);
     if (auto *whole = std::get_if<WholeAnswer>(&end)) {
         const bool reusable = whole->reusable;
         auto result = judgeAnswer(request, std::move(*whole));
@@ -105,4 +117,14 @@
     return {unknown, std::nullopt, false, {}};
 }
 
+void HttpTransport::closeExpiredConnections()
+{
+    m_pool.closeExpired();
+}
+
+std::size_t HttpTransport::openCount(const Endpoint &endpoint) const
+{
+    return m_pool.openCount(endpoint);
+}
+
 } // namespace Sapphireladder
--- a/Source/Connection/Http/HttpTransport.h
+++ b/Source/Connection/Http/HttpTransport.h
@@ -17,6 +17,11 @@
 
     AttemptResult attempt(const AttemptRequest &request) override;
 
+    /** Closes pooled connections that were idle too long. Called now and then. */
+    void closeExpiredConnections();
+    /** @return open connections to the target. */
+    std::size_t openCount(const Endpoint &endpoint) const;
+
 private:
     const Clock &m_clock;
     std::size_t m_bufferLimit;
--- a/Source/Connection/Http/TrafficService.h
+++ b/Source/Connection/Http/TrafficService.h
@@ -29,6 +29,9 @@
      */
     virtual void recordOutcome(const RequestOutcome &outcome, Duration latency) = 0;
 
+    /** Closes connections to upstreams that were idle too long. Called now and then. */
+    virtual void closeExpiredConnections() {}
+
     /** @return whether connections are to be closed after the answer, because the process stops. */
     virtual bool isStopping() const = 0;
 };
--- a/Source/Connection/Http/UpstreamSession.cpp
+++ b/Source/Connection/Http/UpstreamSession.cpp
@@ -1,8 +1,6 @@
 #include "Connection/Http/ConnectionHttp.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/StreamSocket.h>
 
 namespace Sapphireladder {
 
@@ -13,40 +11,44 @@
     const auto micros = duration_cast<std::chrono::microseconds>(remaining).count();
     if (micros <= 0)
         return makeError(ConnectionError::ConnectFailed, endpoint.toString());
-    auto *counter = new CountingSocketImpl;
-    const Poco::Net::StreamSocket socket(counter);
+    auto *connection = new CountingSocketImpl;
+    const Poco::Net::StreamSocket socket(connection);
     try {
-        counter->connect(Poco::Net::SocketAddress(endpoint.host, endpoint.port),
-                         Poco::Timespan(micros));
-        counter->setNoDelay(true);
+        connection->connect(Poco::Net::SocketAddress(endpoint.host, endpoint.port),
+                            Poco::Timespan(micros));
+        connection->setNoDelay(true);
     } catch (const Poco::Exception &) {
         return makeError(ConnectionError::ConnectFailed, endpoint.toString());
     }
-    return std::unique_ptr<UpstreamSession>(new UpstreamSession(socket, counter));
+    return std::unique_ptr<UpstreamSession>(new UpstreamSession(endpoint, socket, connection));
 }
 
-UpstreamSession::UpstreamSession(const Poco::Net::StreamSocket &socket, CountingSocketImpl *counter)
-    : HTTPClientSession(socket)
-    , m_counter(counter)
+UpstreamSession::UpstreamSession(const Endpoint &endpoint, const Poco::Net::StreamSocket &socket,
+                                 CountingSocketImpl *connection)
+    : m_endpoint(endpoint)
+    , m_socket(socket)
+    , m_connection(connection)
+    , m_reader(*connection)
 {
-    setKeepAlive(true);
     const auto now = SteadyClock().now();
     m_record = {now, now, 0};
 }
 
-bool UpstreamSession::hasUnexpectedInput()
+UpstreamSession::~UpstreamSession()
 {
-    return buffered() > 0 || socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ);
+    if (m_openCount)
+        --*m_openCount;
 }
 
-void UpstreamSession::connect(const Poco::Net::SocketAddress &address)
+bool UpstreamSession::hasUnexpectedInput()
 {
-    throw Poco::Net::ConnectionAbortedException(address.toString());
+    return m_reader.hasBufferedInput() || m_connection->hasPendingInput();
 }
 
-bool UpstreamSession::mustReconnect() const
+void UpstreamSession::countIn(std::shared_ptr<std::atomic<std::size_t>> count)
 {
-    return false;
+    m_openCount = std::move(count);
+    ++*m_openCount;
 }
 
 } // namespace Sapphireladder
--- a/Source/Connection/Http/UpstreamSession.h
+++ b/Source/Connection/Http/UpstreamSession.h
@@ -1,17 +1,20 @@
 #pragma once
 
 #include "Connection/Connection.h"
-#include "Connection/Http/CountingSocketImpl.h"
-#include "Request/Request.h"
+#include "Connection/Http/MessageReader.h"
 
-#include <Poco/Net/HTTPClientSession.h>
+#include <Poco/Net/StreamSocket.h>
 
+#include <atomic>
 #include <memory>
 
 namespace Sapphireladder {
 
-/** One connection to a target. It connects once and never again by itself. */
-class UpstreamSession final : public Poco::Net::HTTPClientSession
+/**
+ * One connection to a target. It connects once and never again. POCO's HTTPClientSession is not
+ * used, since it connects again in silence and then sends a second time.
+ */
+class UpstreamSession
 {
 public:
     /**
@@ -22,25 +25,32 @@
      */
     static Result<std::unique_ptr<UpstreamSession>> create(const Endpoint &endpoint,
                                                            TimePoint deadline);
+    ~UpstreamSession();
+    UpstreamSession(const UpstreamSession &) = delete;
+    UpstreamSession &operator=(const UpstreamSession &) = delete;
 
-    CountingSocketImpl &counter() { return *m_counter; }
-    const CountingSocketImpl &counter() const { return *m_counter; }
+    CountingSocketImpl &connection() { return *m_connection; }
+    MessageReader &reader() { return m_reader; }
     ConnectionRecord &record() { return m_record; }
+    const Endpoint &endpoint() const { return m_endpoint; }
 
     /** @return whether bytes or a close wait on the idle connection, which must then not be used.
      */
     bool hasUnexpectedInput();
 
-protected:
-    /** POCO would connect again in silence, which is a second attempt that nobody counts. */
-    void connect(const Poco::Net::SocketAddress &address) override;
-    bool mustReconnect() const override;
+    /** Counts the connection until it is closed. @param count number of open connections */
+    void countIn(std::shared_ptr<std::atomic<std::size_t>> count);
 
 private:
-    UpstreamSession(const Poco::Net::StreamSocket &socket, CountingSocketImpl *counter);
+    UpstreamSession(const Endpoint &endpoint, const Poco::Net::StreamSocket &socket,
+                    CountingSocketImpl *connection);
 
-    CountingSocketImpl *m_counter;
+    Endpoint m_endpoint;
+    Poco::Net::StreamSocket m_socket;
+    CountingSocketImpl *m_connection;
+    MessageReader m_reader;
     ConnectionRecord m_record;
+    std::shared_ptr<std::atomic<std::size_t>> m_openCount;
 };
 
 } // namespace Sapphireladder
--- a/Source/Main/VmProcess.cpp
+++ b/Source/Main/VmProcess.cpp
@@ -99,6 +99,13 @@
 void VmProcess::recordOutcome(const RequestOutcome &outcome, Duration latency)
 {
     m_metrics.recordOutcome(outcome, latency);
+    m_refusalLog.record(outcome);
+}
+
+void VmProcess::closeExpiredConnections()
+{
+    m_transport.closeExpiredConnections();
+    m_platform.closeExpiredConnections();
 }
 
 AdminReply VmProcess::ready()
--- a/Source/Main/VmProcess.h
+++ b/Source/Main/VmProcess.h
@@ -40,6 +40,7 @@
                          std::span<const HeaderField> headers, std::string_view body) override;
     void recordOutcome(const RequestOutcome &outcome, Duration latency) override;
     bool isStopping() const override { return m_stopping; }
+    void closeExpiredConnections() override;
 
     // AdminService, called by the admin endpoint's threads.
     AdminReply ready() override;
@@ -62,6 +63,7 @@
     EventSink &m_events;
     SteadyClock m_clock;
     Metrics m_metrics;
+    InputRefusalLog m_refusalLog{m_events, m_clock};
     PlatformClient m_platform;
     TableClient m_tables;
     ObjectClient m_objects;
--- a/Source/Process/Http/PlatformClient.cpp
+++ b/Source/Process/Http/PlatformClient.cpp
@@ -3,8 +3,17 @@
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/URI.h>
 
+#include <algorithm>
+
 namespace Sapphireladder {
 
+namespace {
+
+/** Longest wait on a pooled connection. A silent one must be recovered from within 5 s. */
+constexpr Duration maxSilence = std::chrono::seconds(2);
+
+} // namespace
+
 PlatformClient::PlatformClient(Endpoint endpoint, Duration timeout, const Clock &clock)
     : m_endpoint(std::move(endpoint))
     , m_timeout(timeout)
@@ -15,16 +24,27 @@
 ExchangeEnd PlatformClient::call(const PlatformRequest &request)
 {
     const auto deadline = m_clock.now() + m_timeout;
-    const auto start = m_clock.now();
     // A write must not go on a connection that may have gone silent, just like a caller's
     // non-idempotent request.
-    auto session = m_pool.take(m_endpoint, request.method == "GET");
-    if (!session) {
-        auto opened = UpstreamSession::create(m_endpoint, deadline);
-        if (!opened)
-            return NotRun{RetryReason::ConnectFailed};
-        session = std::move(opened.value());
+    const bool isRead = request.method == "GET";
+    if (auto session = m_pool.take(m_endpoint, isRead ? Reuse::Any : Reuse::Recent)) {
+        const auto share = isRead ? attemptDeadline(Reuse::Any, m_clock.now(), deadline) : deadline;
+        auto end = callOn(std::move(session), request, std::min(share, m_clock.now() + maxSilence));
+        // A read is repeated on a new connection, since the pooled one may have been silent.
+        const bool mayRepeat = isRead || std::holds_alternative<NotRun>(end);
+        if (!mayRepeat || std::holds_alternative<WholeAnswer>(end))
+            return end;
     }
+    auto opened = m_pool.open(m_endpoint, deadline);
+    if (!opened)
+        return NotRun{RetryReason::ConnectFailed};
+    return callOn(std::move(opened.value()), request, deadline);
+}
+
+ExchangeEnd PlatformClient::callOn(std::unique_ptr<UpstreamSession> session,
+                                   const PlatformRequest &request, TimePoint deadline)
+{
+    const auto start = m_clock.now();
     Poco::Net::HTTPRequest message(std::string(request.method), request.path,
                                    Poco::Net::HTTPMessage::HTTP_1_1);
     for (const auto &it : request.headers)
--- a/Source/Process/Http/PlatformClient.h
+++ b/Source/Process/Http/PlatformClient.h
@@ -29,7 +29,13 @@
     /** @return the whole answer, or whether the platform may have run the request. */
     ExchangeEnd call(const PlatformRequest &request);
 
+    /** Closes pooled connections that were idle too long. Called now and then. */
+    void closeExpiredConnections() { m_pool.closeExpired(); }
+
 private:
+    ExchangeEnd callOn(std::unique_ptr<UpstreamSession> session, const PlatformRequest &request,
+                       TimePoint deadline);
+
     const Endpoint m_endpoint;
     const Duration m_timeout;
     const Clock &m_clock;
--- a/Source/Process/Process.h
+++ b/Source/Process/Process.h
@@ -5,6 +5,7 @@
 #include "Process/ControlMessage.h"
 #include "Process/ControlState.h"
 #include "Process/FleetSnapshot.h"
+#include "Process/InputRefusalLog.h"
 #include "Process/Metrics.h"
 #include "Process/PresetSwitcher.h"
 #include "Process/ProcessError.h"
--- a/Source/Request/Http/AnswerWriter.cpp
+++ b/Source/Request/Http/AnswerWriter.cpp
@@ -1,54 +1,76 @@
 #include "Request/Http/RequestHttp.h"
 
-#include <string>
+#include <Poco/Net/HTTPResponse.h>
+
+#include <sstream>
 
 namespace Sapphireladder {
 
 namespace {
 
+using Poco::Net::HTTPMessage;
 using Poco::Net::HTTPResponse;
-using Poco::Net::HTTPServerResponse;
-
-void send(HTTPServerResponse &response, unsigned status, std::string_view body)
-{
-    response.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(status));
-    response.setContentLength64(static_cast<Poco::Int64>(body.size()));
-    response.sendBuffer(body.data(), body.size());
-}
 
-void sendWithoutAnswer(HTTPServerResponse &response, unsigned status, std::string_view outcome,
-                       std::string_view reason)
-{
-    response.set(outcomeHeader, std::string(outcome));
-    response.set(reasonHeader, std::string(reason));
-    response.setContentType("text/plain");
-    send(response, status, std::string(outcome) + ": " + std::string(reason) + "\n");
-}
+constexpr unsigned noContent = 204;
+constexpr unsigned notModified = 304;
 
-/** Sends one kind of outcome. */
-struct OutcomeSender
+/** Encodes one kind of outcome. */
+struct OutcomeEncoder
 {
-    HTTPServerResponse &response;
+    const AnswerContext &context;
 
-    void operator()(const Answer &answer) const
+    std::string operator()(const Answer &answer) const
     {
+        HTTPResponse head;
         for (const auto &it : answer.headers)
-            response.add(it.name, it.value);
-        response.set(outcomeHeader, "answered");
-        send(response, answer.status, answer.body);
+            head.add(it.name, it.value);
+        // The outcome of a balancer further on is not this one's.
+        for (const auto &it : {outcomeHeader, reasonHeader, requestIdHeader})
+            head.erase(it);
+        head.set(outcomeHeader, "answered");
+        return encode(head, answer.status, answer.body);
     }
 
-    void operator()(const Refusal &refusal) const
+    std::string operator()(const Refusal &refusal) const
     {
-        sendWithoutAnswer(response, statusOf(refusal.reason), "not-run", nameOf(refusal.reason));
+        return encodeWithoutAnswer(statusOf(refusal.reason), "not-run", nameOf(refusal.reason));
     }
 
-    void operator()(const Unknown &unknown) const
+    std::string operator()(const Unknown &unknown) const
     {
         const unsigned status = unknown.reason == UnknownReason::AnswerTimeout     ? 504
                                 : unknown.reason == UnknownReason::AlreadyAccepted ? 409
                                                                                    : 502;
-        sendWithoutAnswer(response, status, "unknown", nameOf(unknown.reason));
+        return encodeWithoutAnswer(status, "unknown", nameOf(unknown.reason));
+    }
+
+private:
+    std::string encodeWithoutAnswer(unsigned status, std::string_view outcome,
+                                    std::string_view reason) const
+    {
+        HTTPResponse head;
+        head.set(outcomeHeader, std::string(outcome));
+        head.set(reasonHeader, std::string(reason));
+        head.setContentType("text/plain");
+        return encode(head, status, std::string(outcome) + ": " + std::string(reason) + "\n");
+    }
+
+    std::string encode(HTTPResponse &head, unsigned status, std::string_view body) const
+    {
+        const bool hasBody = !context.isHead && status != noContent && status != notModified;
+        head.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(status));
+        head.setVersion(HTTPMessage::HTTP_1_1);
+        head.setKeepAlive(context.keepConnection);
+        if (!context.requestId.isEmpty())
+            head.set(requestIdHeader, context.requestId.string());
+        if (hasBody)
+            head.setContentLength64(static_cast<Poco::Int64>(body.size()));
+        std::ostringstream out;
+        head.write(out);
+        std::string text = out.str();
+        if (hasBody)
+            text.append(body);
+        return text;
     }
 };
 
@@ -60,7 +82,10 @@
     case RefusalReason::BadRequest:
     case RefusalReason::BadFraming:
     case RefusalReason::DepthExceeded:
+    case RefusalReason::RequestCut:
         return 400;
+    case RefusalReason::RequestTimeout:
+        return 408;
     case RefusalReason::HeaderTooLarge:
         return 431;
     case RefusalReason::BodyTooLarge:
@@ -80,12 +105,9 @@
     }
 }
 
-void writeOutcome(const RequestOutcome &outcome, const RequestId &requestId,
-                  HTTPServerResponse &response)
+std::string encodeOutcome(const RequestOutcome &outcome, const AnswerContext &context)
 {
-    if (!requestId.isEmpty())
-        response.set(requestIdHeader, requestId.string());
-    std::visit(OutcomeSender{response}, outcome);
+    return std::visit(OutcomeEncoder{context}, outcome);
 }
 
 } // namespace Sapphireladder
--- a/Source/Request/Http/AnswerWriter.h
+++ b/Source/Request/Http/AnswerWriter.h
@@ -2,18 +2,28 @@
 
 #include "Request/Request.h"
 
-#include <Poco/Net/HTTPServerResponse.h>
+#include <string>
+#include <string_view>
 
 namespace Sapphireladder {
 
+/** What an encoded answer depends on besides its outcome. */
+struct AnswerContext
+{
+    /** Id that the answer echoes; empty if the request had none that could be read. */
+    RequestId requestId;
+    /** Answers to HEAD have no body. */
+    bool isHead = false;
+    /** The connection stays open after the answer. */
+    bool keepConnection = false;
+};
+
 /**
- * Sends a request's outcome to its caller.
+ * Encodes a request's outcome for its caller.
  * @param outcome answer, refusal or unknown
- * @param requestId id that the answer echoes
- * @param response response with nothing sent yet
+ * @return the whole HTTP message.
  */
-void writeOutcome(const RequestOutcome &outcome, const RequestId &requestId,
-                  Poco::Net::HTTPServerResponse &response);
+std::string encodeOutcome(const RequestOutcome &outcome, const AnswerContext &context);
 
 /** @return HTTP status that tells the caller of the refusal. */
 unsigned statusOf(RefusalReason reason);
--- a/Source/Request/Http/RequestMapper.cpp
+++ b/Source/Request/Http/RequestMapper.cpp
@@ -3,6 +3,7 @@
 #include <Poco/String.h>
 
 #include <algorithm>
+#include <array>
 #include <iterator>
 
 namespace Sapphireladder {
@@ -31,13 +32,57 @@
     return isIdempotentMethod(message.getMethod());
 }
 
-std::size_t headSize(const HTTPRequest &message)
+/** @return whether the request line names a path. The whole-server and proxy forms are not served.
+ */
+bool hasValidTarget(const HTTPRequest &message)
 {
-    constexpr std::size_t separators = 4;
-    std::size_t n = message.getMethod().size() + message.getURI().size();
-    for (const auto &[name, value] : message)
-        n += name.size() + value.size() + separators;
-    return n;
+    return message.getURI().starts_with('/') && message.getMethod() != HTTPRequest::HTTP_CONNECT;
+}
+
+/** A header that decides how a request is handled, and the values that it may have. */
+struct FieldRule
+{
+    const std::string &name;
+    std::size_t maxLength;
+    /** Empty if any visible characters may be given. */
+    std::array<std::string_view, 2> values;
+};
+
+bool hasValidValue(const FieldRule &rule, std::string_view value)
+{
+    if (value.empty() || value.size() > rule.maxLength)
+        return false;
+    if (!rule.values[0].empty())
+        return std::find(rule.values.begin(), rule.values.end(), value) != rule.values.end();
+    return std::all_of(value.begin(), value.end(), [](char c) { return c > ' ' && c < '\x7f'; });
+}
+
+/**
+ * Checks the headers that decide how a request is handled. A value that is not understood, or one
+ * that is given twice, is refused: to ignore it could run a request twice that must run once.
+ */
+bool hasValidFields(const HTTPRequest &message)
+{
+    constexpr std::size_t maxNameLength = 256;
+    static const FieldRule rules[] = {
+            {HTTPRequest::HOST, maxNameLength, {}},
+            {requestIdHeader, maxNameLength, {}},
+            {idempotencyKeyHeader, maxNameLength, {}},
+            {timeoutHeader, maxNameLength, {}},
+            {attemptHeader, maxNameLength, {}},
+            {depthHeader, maxNameLength, {}},
+            {classHeader, maxNameLength, {"urgent", "deferrable"}},
+            {nonIdempotentHeader, maxNameLength, {"true", "false"}},
+    };
+    return std::all_of(std::begin(rules), std::end(rules), [&](const FieldRule &rule) {
+        const auto first = message.find(rule.name);
+        if (first == message.end())
+            return true;
+        const auto count = std::count_if(message.begin(), message.end(), [&](const auto &it) {
+            return Poco::icompare(it.first, rule.name) == 0;
+        });
+        return count == 1 && hasValidValue(rule, first->second);
+    });
 }
 
 /** Reads a header that holds a whole number. @return false if it is not one. */
@@ -52,20 +97,13 @@
     return true;
 }
 
-bool readClass(const HTTPRequest &message, RequestClass &requestClass)
-{
-    const std::string text = message.get(classHeader, "urgent");
-    if (text != "urgent" && text != "deferrable")
-        return false;
-    requestClass = text == "urgent" ? RequestClass::Urgent : RequestClass::Deferrable;
-    return true;
-}
-
 std::vector<HeaderField> endToEndHeaders(const HTTPRequest &message)
 {
     std::vector<HeaderField> headers;
     for (const auto &[name, value] : message) {
-        if (!isHopByHopHeader(name) && Poco::icompare(name, "Expect") != 0)
+        const bool passed = !isHopByHopHeader(name) && Poco::icompare(name, "Expect") != 0
+                            && !hasToken(message, HTTPMessage::CONNECTION, name);
+        if (passed)
             headers.push_back({name, value});
     }
     return headers;
@@ -78,32 +116,14 @@
 
 } // namespace
 
-bool hasBadFraming(const HTTPMessage &message)
-{
-    const auto lengths = std::distance(message.find(HTTPMessage::CONTENT_LENGTH), message.end());
-    std::size_t lengthCount = 0;
-    if (lengths > 0) {
-        for (const auto &[name, value] : message) {
-            if (Poco::icompare(name, HTTPMessage::CONTENT_LENGTH) != 0)
-                continue;
-            ++lengthCount;
-            if (!parseUnsigned(value))
-                return true;
-        }
-    }
-    if (!message.has(HTTPMessage::TRANSFER_ENCODING))
-        return lengthCount > 1;
-    return lengthCount > 0 || Poco::icompare(message.getTransferEncoding(), "chunked") != 0;
-}
-
 std::variant<MappedRequest, RefusalReason> mapRequest(const HTTPRequest &message,
                                                       const PresetSnapshot &snapshot, TimePoint now,
                                                       RandomSource &random)
 {
-    if (hasBadFraming(message))
+    if (!framingOf(message))
         return RefusalReason::BadFraming;
-    if (headSize(message) > maxHeadSize)
-        return RefusalReason::HeaderTooLarge;
+    if (!hasValidTarget(message) || !hasValidFields(message))
+        return RefusalReason::BadRequest;
     MappedRequest mapped;
     const std::string host = message.get(HTTPRequest::HOST, "");
     mapped.policy = snapshot.findService(hostWithoutPort(host));
@@ -116,7 +136,7 @@
     std::uint64_t depth = 0;
     if (!readNumber(message, timeoutHeader, timeout)
         || !readNumber(message, attemptHeader, attemptMark)
-        || !readNumber(message, depthHeader, depth) || !readClass(message, info.requestClass))
+        || !readNumber(message, depthHeader, depth))
         return RefusalReason::BadRequest;
     if (timeout == 0)
         return RefusalReason::DeadlineExpired;
@@ -126,6 +146,8 @@
     info.deadline = now + std::chrono::milliseconds(std::min(timeout, longest));
     info.attemptMark = static_cast<unsigned>(std::min<std::uint64_t>(attemptMark, maxDepth));
     info.depth = static_cast<unsigned>(depth);
+    if (message.get(classHeader, "") == "deferrable")
+        info.requestClass = RequestClass::Deferrable;
     info.service = mapped.policy->name;
     info.method = message.getMethod();
     info.path = message.getURI();
--- a/Source/Request/Http/RequestMapper.h
+++ b/Source/Request/Http/RequestMapper.h
@@ -18,7 +18,7 @@
     std::vector<HeaderField> headers;
 };
 
-/** Largest head of a caller's request in bytes. */
+/** Largest head of a message in bytes. */
 constexpr std::size_t maxHeadSize = 16384;
 
 /**
@@ -39,7 +39,4 @@
  */
 ContentDigest fingerprintOf(const RequestInfo &info, std::string_view body);
 
-/** @return whether the framing headers of the message contradict each other. */
-bool hasBadFraming(const Poco::Net::HTTPMessage &message);
-
 } // namespace Sapphireladder
--- a/Source/Request/Reasons.cpp
+++ b/Source/Request/Reasons.cpp
@@ -29,6 +29,8 @@
         "claim-expired",
         "key-reused",
         "stopping",
+        "request-cut",
+        "request-timeout",
 };
 
 constexpr NameTable<UnknownReason> unknownNames = {
--- a/Source/Request/Reasons.h
+++ b/Source/Request/Reasons.h
@@ -27,6 +27,8 @@
     ClaimExpired,
     KeyReused,
     Stopping,
+    RequestCut,
+    RequestTimeout,
     Count,
 };
 
