Connection: Test the traps of whole answers, bad input and stops

A first stop closed the listening socket after a filter that dropped every segment, and a connection whose handshake was half done was then reset.

Change: Tests with scripted raw sockets on both sides.

--- a/Source/Connection/Http/AcceptSocket.cpp
+++ b/Source/Connection/Http/AcceptSocket.cpp
@@ -48,11 +48,22 @@
 
 void AcceptSocket::ignoreNewConnections()
 {
-    // A filter that keeps no byte of any packet. The callers' kernels try again and then find the
-    // port closed.
-    std::array<sock_filter, 1> code{{{BPF_RET | BPF_K, 0, 0, 0}}};
+    // Drops segments that have SYN without ACK. The last segment of a handshake still arrives, so
+    // that no caller holds a connection that the kernel here does not know.
+    constexpr unsigned flagsOffset = 13;
+    constexpr unsigned synAndAck = 0x12;
+    constexpr unsigned syn = 0x02;
+    constexpr unsigned keepAll = 0xffffffff;
+    std::array<sock_filter, 5> code{{
+            {BPF_LD | BPF_B | BPF_ABS, 0, 0, flagsOffset},
+            {BPF_ALU | BPF_AND | BPF_K, 0, 0, synAndAck},
+            {BPF_JMP | BPF_JEQ | BPF_K, 0, 1, syn},
+            {BPF_RET | BPF_K, 0, 0, 0},
+            {BPF_RET | BPF_K, 0, 0, keepAll},
+    }};
     const sock_fprog program{static_cast<unsigned short>(code.size()), code.data()};
     ::setsockopt(m_socket.impl()->sockfd(), SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program);
+    m_ignoring = true;
 }
 
 Endpoint AcceptSocket::endpoint() const
--- a/Source/Connection/Http/AcceptSocket.h
+++ b/Source/Connection/Http/AcceptSocket.h
@@ -27,10 +27,11 @@
     Accepted accept(int &fd);
 
     /**
-     * Lets the kernel ignore attempts to connect. What was accepted by the kernel before can still
-     * be taken, so that no connection is reset when the socket closes after that.
+     * Lets the kernel ignore further attempts to connect. Connections that are being opened can
+     * still be taken for a moment, so that none is reset when the socket closes after that.
      */
     void ignoreNewConnections();
+    bool isIgnoring() const { return m_ignoring; }
 
     const Poco::Net::ServerSocket &socket() const { return m_socket; }
     /** @return the address that it listens on. */
@@ -40,6 +41,7 @@
     AcceptSocket() = default;
 
     Poco::Net::ServerSocket m_socket;
+    bool m_ignoring = false;
 };
 
 } // namespace Sapphireladder
--- a/Source/Connection/Http/CallerListener.cpp
+++ b/Source/Connection/Http/CallerListener.cpp
@@ -123,7 +123,11 @@
 
 void CallerListener::stopAccepting()
 {
-    m_acceptSocket->ignoreNewConnections();
+    // The time until the next sweep is many times the round trip of 16 ms to a caller.
+    if (!m_acceptSocket->isIgnoring()) {
+        m_acceptSocket->ignoreNewConnections();
+        return;
+    }
     // Connections that the kernel has accepted already still get their answer.
     acceptAll();
     if (m_pollSet.has(m_acceptSocket->socket()))
--- /dev/null
+++ b/Tests/Connection/CallerTest.cpp
@@ -0,0 +1,300 @@
+#include "Connection/CallerFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+using namespace Sapphireladder::Tests;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Connection");
+
+namespace {
+
+struct RefusedCase
+{
+    std::string request;
+    const char *status;
+    RefusalReason reason;
+};
+
+std::string get(std::string_view fields)
+{
+    return "GET /a HTTP/1.1\r\nHost: botolchin\r\n" + std::string(fields) + "\r\n";
+}
+
+std::string post(std::string_view rest)
+{
+    return "POST /a HTTP/1.1\r\nHost: botolchin\r\n" + std::string(rest);
+}
+
+std::vector<RefusedCase> refusedCases()
+{
+    using enum RefusalReason;
+    return {
+            {get("X: " + std::string(maxHeadSize, 'x') + "\r\n"), "431", HeaderTooLarge},
+            {post("Content-Length: 1025\r\n\r\n"), "413", BodyTooLarge},
+            {post("Transfer-Encoding: chunked\r\n\r\n401\r\n"), "413", BodyTooLarge},
+            {post("Content-Length: -1\r\n\r\n"), "400", BadFraming},
+            {post("Content-Length: 1x\r\n\r\n"), "400", BadFraming},
+            {post("Content-Length: 99999999999999999999\r\n\r\n"), "400", BadFraming},
+            {post("Content-Length: 1\r\nContent-Length: 1\r\n\r\na"), "400", BadFraming},
+            {post("Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"), "400", BadFraming},
+            {post("Transfer-Encoding: gzip, chunked\r\n\r\n"), "400", BadFraming},
+            {post("Transfer-Encoding: chunked\r\n\r\nzz\r\n"), "400", BadFraming},
+            {get("X: a\rb\r\n"), "400", BadRequest},
+            {get("X: a\nY: b\r\n"), "400", BadRequest},
+            {get("X : a\r\n"), "400", BadRequest},
+            {get(" folded: a\r\n"), "400", BadRequest},
+            {get("no colon\r\n"), "400", BadRequest},
+            {get("Host: another\r\n"), "400", BadRequest},
+            {get("Sapphireladder-Timeout-Ms: soon\r\n"), "400", BadRequest},
+            {get("Sapphireladder-Class: first\r\n"), "400", BadRequest},
+            {get("Sapphireladder-Non-Idempotent: TRUE\r\n"), "400", BadRequest},
+            {get("Idempotency-Key: a\r\nidempotency-key: b\r\n"), "400", BadRequest},
+            {get("X-Request-Id: a b\r\n"), "400", BadRequest},
+            {get("Sapphireladder-Timeout-Ms: 0\r\n"), "504", DeadlineExpired},
+            {get("Sapphireladder-Depth: 32\r\n"), "400", DepthExceeded},
+            {"GET /a HTTP/1.1\r\nHost: unknown\r\n\r\n", "404", UnknownService},
+            {"GET /a HTTP/2.0\r\nHost: botolchin\r\n\r\n", "400", BadRequest},
+            {"GET http://botolchin/ HTTP/1.1\r\nHost: botolchin\r\n\r\n", "400", BadRequest},
+            {"G(T /a HTTP/1.1\r\nHost: botolchin\r\n\r\n", "400", BadRequest},
+            {"GET /a b HTTP/1.1\r\nHost: botolchin\r\n\r\n", "400", BadRequest},
+            {"\x16\x03\x01 not HTTP\r\n\r\n", "400", BadRequest},
+    };
+}
+
+} // namespace
+
+// Guards against bad input that is run, that is refused without a type, or that breaks the process.
+TEST_CASE_FIXTURE(CallerFixture, "caller, with bad input, is told that it was not run")
+{
+    listen();
+    for (const auto &it : refusedCases()) {
+        CAPTURE(it.request);
+        const auto before = refused(it.reason);
+        const auto answer = call(it.request);
+        CHECK(answer.starts_with("HTTP/1.1 " + std::string(it.status) + " "));
+        CHECK(answer.find("Sapphireladder-Outcome: not-run\r\n") != std::string::npos);
+        const auto reason = "Sapphireladder-Reason: " + std::string(nameOf(it.reason)) + "\r\n";
+        CHECK(answer.find(reason) != std::string::npos);
+        CHECK(eventually([&] { return refused(it.reason) == before + 1; }));
+    }
+    CHECK(served() == 0);
+    CHECK(call(get("")).starts_with("HTTP/1.1 200 OK"));
+}
+
+// Guards against a refusal that is lost because the kernel resets a connection with input unread.
+TEST_CASE_FIXTURE(CallerFixture, "caller, while it sends a body too large, reads the refusal")
+{
+    listen();
+    for (int i = 0; i < 20; ++i) {
+        RawSocket socket(listener->endpoint());
+        socket.send(post("Content-Length: 4000000\r\n\r\n"));
+        socket.send(std::string(1 << 20, 'x'));
+        CHECK(socket.readAll().find("body-too-large") != std::string::npos);
+    }
+}
+
+TEST_CASE_FIXTURE(CallerFixture, "caller, with each valid form of request, is answered")
+{
+    listen();
+    RawSocket socket(listener->endpoint());
+    socket.send(get("") + post("Content-Length: 2\r\n\r\nhi") + "\r\n"
+                + get("Connection: close\r\n"));
+    CHECK(socket.readAnswer().ends_with("/a|"));
+    CHECK(socket.readAnswer().ends_with("/a|hi"));
+    const auto last = socket.readAll();
+    CHECK(last.find("Connection: Close\r\n") != std::string::npos);
+    CHECK(last.ends_with("/a|"));
+
+    CHECK(call(post("Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nhi\r\n0\r\nA: b\r\n\r\n"))
+                  .ends_with("/a|hi"));
+
+    RawSocket head(listener->endpoint());
+    head.send("HEAD /a HTTP/1.1\r\nHost: botolchin:80\r\nConnection: close\r\n\r\n");
+    CHECK(head.readAll().ends_with("\r\n\r\n"));
+
+    RawSocket old(listener->endpoint());
+    old.send("GET /a HTTP/1.0\r\nHost: botolchin\r\n\r\n");
+    CHECK(old.readAll().ends_with("/a|"));
+
+    RawSocket waiting(listener->endpoint());
+    waiting.send(post("Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"));
+    CHECK(waiting.readUntil("\r\n\r\n") == "HTTP/1.1 100 Continue\r\n\r\n");
+    waiting.send("hi");
+    CHECK(waiting.readAnswer().ends_with("/a|hi"));
+}
+
+// Guards against callers that hold a traffic thread by sending slowly or by going away.
+TEST_CASE_FIXTURE(CallerFixture, "caller, with a slow or cut request, is refused")
+{
+    options.limits.readTimeout = 200ms;
+    listen();
+    for (const auto *start : {"GET /a HT", "POST /a HTTP/1.1\r\nHost: botolchin\r\n"
+                                           "Content-Length: 2\r\n\r\nh"}) {
+        CHECK(call(start).find("request-timeout") != std::string::npos);
+        RawSocket cut(listener->endpoint());
+        cut.send(start);
+        cut.closeSending();
+        CHECK(cut.readAll().find("request-cut") != std::string::npos);
+        RawSocket gone(listener->endpoint());
+        gone.send(start);
+        gone.reset();
+    }
+    CHECK(eventually([&] { return refused(RefusalReason::RequestCut) == 4; }));
+    CHECK(refused(RefusalReason::RequestTimeout) == 2);
+    CHECK(served() == 0);
+    CHECK(eventually([&] { return listener->connectionCount() == 0; }));
+}
+
+// Guards against a caller that vanishes while its request runs.
+TEST_CASE_FIXTURE(CallerFixture, "caller, gone before its answer, is counted and forgotten")
+{
+    setHolding(true);
+    listen();
+    {
+        RawSocket gone(listener->endpoint());
+        gone.send("GET /held HTTP/1.1\r\nHost: botolchin\r\n\r\n");
+        REQUIRE(eventually([&] { return served() == 1; }));
+        gone.reset();
+    }
+    setHolding(false);
+    CHECK(eventually([&] { return recorded() == 1 && listener->connectionCount() == 0; }));
+}
+
+// Guards against connections beyond the threads or the limit that are left unread.
+TEST_CASE_FIXTURE(CallerFixture, "listener, at its connection limit, refuses with the reason")
+{
+    options.maxConnections = 8;
+    listen();
+    std::vector<std::unique_ptr<RawSocket>> idle;
+    for (std::size_t i = 0; i < options.maxConnections; ++i) {
+        idle.push_back(std::make_unique<RawSocket>(listener->endpoint()));
+        idle.back()->send(get(""));
+        CHECK(idle.back()->readAnswer().ends_with("/a|"));
+    }
+    const auto answer = call(get(""));
+    CHECK(answer.find("Sapphireladder-Outcome: not-run\r\n") != std::string::npos);
+    CHECK(answer.find("Sapphireladder-Reason: connection-limit\r\n") != std::string::npos);
+    CHECK(refused(RefusalReason::ConnectionLimit) == 1);
+    CHECK(served() == options.maxConnections);
+}
+
+// Guards against a request that runs after its deadline passed in the queue for a traffic thread.
+TEST_CASE_FIXTURE(CallerFixture, "request, with a deadline that passed in the queue, is not run")
+{
+    options.trafficThreads = 1;
+    setHolding(true);
+    listen();
+    RawSocket first(listener->endpoint());
+    first.send("GET /held HTTP/1.1\r\nHost: botolchin\r\n\r\n");
+    REQUIRE(eventually([&] { return served() == 1; }));
+    RawSocket second(listener->endpoint());
+    second.send(get("Sapphireladder-Timeout-Ms: 50\r\n"));
+    std::this_thread::sleep_for(500ms);
+    setHolding(false);
+    const auto answer = second.readAnswer();
+    CHECK(answer.find("Sapphireladder-Outcome: not-run\r\n") != std::string::npos);
+    CHECK(answer.find("deadline-expired") != std::string::npos);
+    CHECK(served() == 1);
+}
+
+TEST_CASE_FIXTURE(CallerFixture, "listener, with idle connections, closes them after their limit")
+{
+    options.idleTimeout = 100ms;
+    listen();
+    RawSocket idle(listener->endpoint());
+    idle.send(get(""));
+    idle.readAnswer();
+    CHECK(idle.readAll().empty());
+    CHECK(eventually([&] { return listener->connectionCount() == 0; }));
+}
+
+namespace {
+
+/** Sends one request after another and opens connections as it is told to. */
+class SteadyCaller
+{
+public:
+    explicit SteadyCaller(const Endpoint &endpoint)
+        : m_endpoint(endpoint)
+        , m_thread([this] { run(); })
+    {}
+    /** Waits until no more connection can be opened. */
+    void finish() { m_thread.join(); }
+
+    std::atomic<unsigned> answered{0};
+    std::atomic<unsigned> cut{0};
+
+private:
+    void run()
+    {
+        try {
+            while (cut == 0)
+                useConnection();
+        } catch (const Poco::Exception &) {
+            // The listener is closed.
+        }
+    }
+
+    void useConnection()
+    {
+        RawSocket socket(m_endpoint);
+        while (true) {
+            socket.send(get(""));
+            const auto answer = socket.readAnswer();
+            if (!answer.ends_with("/a|")) {
+                ++cut;
+                return;
+            }
+            ++answered;
+            if (answer.find("Connection: Close") != std::string::npos)
+                return;
+        }
+    }
+
+    Endpoint m_endpoint;
+    std::thread m_thread;
+};
+
+} // namespace
+
+// Guards against a planned stop that cuts requests (H6).
+TEST_CASE_FIXTURE(CallerFixture, "listener, stopped under load, cuts no request")
+{
+    for (int round = 0; round < 5; ++round) {
+        listen();
+        RawSocket idle(listener->endpoint());
+        std::list<SteadyCaller> callers;
+        for (int i = 0; i < 8; ++i)
+            callers.emplace_back(listener->endpoint());
+        for (const auto &it : callers)
+            REQUIRE(eventually([&] { return it.answered > 10; }));
+        listener->stop();
+        CHECK(listener->connectionCount() == 0);
+        for (auto &it : callers) {
+            it.finish();
+            CHECK(it.cut == 0);
+        }
+        CHECK(idle.readAll().empty());
+    }
+}
+
+// Guards against a stop that cuts the request that is running.
+TEST_CASE_FIXTURE(CallerFixture, "listener, stopped with a request in flight, answers it")
+{
+    setHolding(true);
+    listen();
+    RawSocket socket(listener->endpoint());
+    socket.send("GET /held HTTP/1.1\r\nHost: botolchin\r\n\r\n");
+    REQUIRE(eventually([&] { return served() == 1; }));
+    std::thread stopper([&] { listener->stop(); });
+    std::this_thread::sleep_for(2 * options.stopIdleTimeout);
+    setHolding(false);
+    const auto answer = socket.readAll();
+    stopper.join();
+    CHECK(answer.find("Connection: Close\r\n") != std::string::npos);
+    CHECK(answer.ends_with("/held|"));
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/Tests/Connection/UpstreamTest.cpp
@@ -0,0 +1,290 @@
+#include "Connection/RawSocket.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+using namespace Sapphireladder::Tests;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Connection");
+
+namespace {
+
+/** Sends attempts to a scripted target. */
+struct TransportFixture
+{
+    AttemptResult attempt(const Endpoint &endpoint, Duration timeout = 20s, unsigned number = 0)
+    {
+        target.endpoint = endpoint;
+        info.deadline = clock.now() + timeout;
+        return transport.attempt({info, target, policy, {}, body, number});
+    }
+
+    /** @return "answered", the reason of an unknown end, or "not-run". */
+    static std::string_view endOf(const AttemptResult &result)
+    {
+        if (const auto *unknown = std::get_if<Unknown>(&result.end))
+            return nameOf(unknown->reason);
+        return std::holds_alternative<Answered>(result.end) ? "answered" : "not-run";
+    }
+
+    TransportFixture()
+    {
+        info.id = RequestId("request-1");
+        info.service = ServiceName("botolchin");
+        info.method = "GET";
+        info.path = "/codes/1";
+    }
+
+    SteadyClock clock;
+    HttpTransport transport{clock, 65536};
+    TargetSpec target;
+    ServicePolicy policy;
+    RequestInfo info;
+    std::string body;
+};
+
+struct AnswerCase
+{
+    const char *answer;
+    std::string_view end;
+};
+
+constexpr AnswerCase answerCases[] = {
+        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", "answered"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nshort", "answer-cut"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 0", "answer-cut"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+         "answered"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ncut", "answer-cut"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n", "answer-cut"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\ncut\r\n0\r\n", "answer-cut"},
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nfive\r\nwhole\r\n0\r\n\r\n",
+         "answer-framing"},
+        {"HTTP/1.1 200 OK\r\n\r\nno length", "answer-without-length"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "answer-framing"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nwhole!",
+         "answer-framing"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-Request-Id: other\r\n\r\nwhole",
+         "answer-mismatch"},
+        {"HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n", "answer-too-large"},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+         "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+         "answered"},
+        {"HTTP/1.1 101 Switching Protocols\r\n\r\n", "answer-framing"},
+        {"HTTP/1.1 200 OK\nContent-Length: 5\n\nwhole", "answer-framing"},
+        {"not HTTP\r\n\r\n", "answer-framing"},
+        {"", "connection-reset"},
+};
+
+} // namespace
+
+// Guards against a cut or ambiguous answer that is passed on as if it were whole.
+TEST_CASE_FIXTURE(TransportFixture, "attempt, with an answer that then closes, tells how it ended")
+{
+    for (const auto &it : answerCases) {
+        CAPTURE(it.answer);
+        ScriptedServer server([&](RawSocket &socket, unsigned) {
+            socket.readUntil("\r\n\r\n");
+            socket.send(it.answer);
+        });
+        const auto result = attempt(server.endpoint());
+        CHECK(endOf(result) == it.end);
+        if (const auto *answered = std::get_if<Answered>(&result.end))
+            CHECK(answered->answer.body == "whole");
+    }
+}
+
+// Guards against the loss of why an answer is missing when its connection breaks.
+TEST_CASE_FIXTURE(TransportFixture, "attempt, with a reset or a stall, is unknown")
+{
+    for (const std::string_view start :
+         {"", "H", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nst"}) {
+        CAPTURE(start);
+        ScriptedServer resetting([&](RawSocket &socket, unsigned) {
+            socket.readUntil("\r\n\r\n");
+            socket.send(start);
+            socket.reset();
+        });
+        // A reset can overtake the bytes before it, but never makes the answer whole.
+        CHECK(endOf(attempt(resetting.endpoint())) == "connection-reset");
+        ScriptedServer stalling([&](RawSocket &socket, unsigned) {
+            socket.readUntil("\r\n\r\n");
+            socket.send(start);
+            socket.readAll();
+        });
+        CHECK(endOf(attempt(stalling.endpoint(), 100ms)) == "answer-timeout");
+    }
+}
+
+// Guards against "not run" for a request of which the kernel took a part before a reset.
+TEST_CASE_FIXTURE(TransportFixture, "attempt, with a reset or a stall while it sends, is unknown")
+{
+    info.method = "POST";
+    body.assign(32 << 20, 'x');
+    for (const bool resets : {true, false}) {
+        std::atomic<bool> done{false};
+        ScriptedServer server([&](RawSocket &socket, unsigned) {
+            socket.readUntil("\r\n\r\n");
+            if (resets)
+                socket.reset();
+            else
+                eventually([&] { return done.load(); });
+        });
+        const auto result = attempt(server.endpoint(), resets ? 20s : 300ms);
+        done = true;
+        CHECK(endOf(result) == (resets ? "connection-reset" : "answer-timeout"));
+    }
+}
+
+// Guards against a second POST that POCO would send in silence on a new connection.
+TEST_CASE_FIXTURE(TransportFixture, "attempt, with a kept connection that closed, sends once")
+{
+    std::atomic<unsigned> requests{0};
+    ScriptedServer server([&](RawSocket &socket, unsigned number) {
+        socket.readUntil("\r\n\r\n");
+        ++requests;
+        socket.send(wholeAnswer("whole"));
+        if (number > 0)
+            return;
+        // Reads the second request on the first connection and closes without an answer.
+        socket.readUntil("\r\n\r\n");
+        ++requests;
+    });
+    info.method = "POST";
+    info.idempotent = false;
+    CHECK(endOf(attempt(server.endpoint())) == "answered");
+    CHECK(endOf(attempt(server.endpoint())) == "connection-reset");
+    CHECK(requests == 2);
+    CHECK(server.connectionCount() == 1);
+}
+
+// Guards against the bytes of one answer that are taken as the start of the next.
+TEST_CASE_FIXTURE(TransportFixture,
+                  "attempt, with late bytes on a pooled connection, opens another")
+{
+    std::atomic<bool> late{false};
+    std::atomic<bool> sent{false};
+    ScriptedServer server([&](RawSocket &socket, unsigned number) {
+        socket.readUntil("\r\n\r\n");
+        socket.send(wholeAnswer(number == 0 ? "first" : "second"));
+        if (number > 0)
+            return;
+        eventually([&] { return late.load(); });
+        socket.send(wholeAnswer("late"));
+        sent = true;
+        socket.readAll();
+    });
+    CHECK(endOf(attempt(server.endpoint())) == "answered");
+    late = true;
+    REQUIRE(eventually([&] { return sent.load(); }));
+    const auto result = attempt(server.endpoint());
+    REQUIRE(endOf(result) == "answered");
+    CHECK(std::get<Answered>(result.end).answer.body == "second");
+}
+
+// Guards against a HEAD that waits for a body, or that loses the length that GET would give.
+TEST_CASE_FIXTURE(TransportFixture, "attempt, with HEAD, answers without a body")
+{
+    ScriptedServer server([&](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        socket.send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\n");
+        socket.readAll();
+    });
+    info.method = "HEAD";
+    const auto result = attempt(server.endpoint());
+    REQUIRE(endOf(result) == "answered");
+    const auto &answer = std::get<Answered>(result.end).answer;
+    CHECK(answer.body.empty());
+    CHECK(encodeOutcome(answer, {RequestId("a"), true, true}).find("Content-Length: 1000\r\n")
+          != std::string::npos);
+}
+
+namespace {
+
+/** Answers one request on each connection and then says nothing on the first ones. */
+ScriptedServer::Script silentAfterFirst(unsigned silentConnections)
+{
+    return [silentConnections](RawSocket &socket, unsigned number) {
+        while (socket.readUntil("\r\n\r\n").ends_with("\r\n\r\n")) {
+            socket.send(wholeAnswer("whole"));
+            if (number < silentConnections) {
+                socket.readAll();
+                return;
+            }
+        }
+    };
+}
+
+} // namespace
+
+// Guards against a silent connection that uses up the deadline, and against its silent siblings.
+TEST_CASE_FIXTURE(TransportFixture, "attempt, with silent connections, leaves time and drops them")
+{
+    constexpr unsigned count = 4;
+    ScriptedServer server(silentAfterFirst(count));
+    ConnectionPool pool(clock);
+    std::vector<std::unique_ptr<UpstreamSession>> sessions;
+    for (unsigned i = 0; i < count; ++i) {
+        auto session = pool.open(server.endpoint(), clock.now() + 20s);
+        REQUIRE(session);
+        sessions.push_back(std::move(session.value()));
+    }
+    for (auto &it : sessions)
+        pool.give(server.endpoint(), std::move(it));
+    CHECK(pool.openCount(server.endpoint()) == count);
+    pool.dropSilentSince(server.endpoint(), clock.now());
+    CHECK(pool.openCount(server.endpoint()) == 0);
+
+    ScriptedServer silent(silentAfterFirst(1));
+    CHECK(endOf(attempt(silent.endpoint())) == "answered");
+    const auto start = clock.now();
+    CHECK(endOf(attempt(silent.endpoint(), 4s)) == "answer-timeout");
+    CHECK(clock.now() < info.deadline);
+    CHECK(clock.now() >= start + 2s);
+    CHECK(transport.openCount(silent.endpoint()) == 0);
+    CHECK(endOf(attempt(silent.endpoint(), info.deadline - clock.now(), 1)) == "answered");
+}
+
+// Guards against repeats and unrepeatable requests on connections that may be silent.
+TEST_CASE("reuseFor, with each kind of attempt, restricts what cannot be repeated")
+{
+    RequestInfo info;
+    RetryPolicy policy;
+    CHECK(reuseFor(info, policy, 0) == Reuse::Any);
+    CHECK(reuseFor(info, policy, 1) == Reuse::None);
+    info.attemptMark = 1;
+    CHECK(reuseFor(info, policy, 0) == Reuse::Recent);
+    info.attemptMark = 0;
+    info.idempotent = false;
+    CHECK(reuseFor(info, policy, 0) == Reuse::Recent);
+    const TimePoint now(100s);
+    const ConnectionRecord old{now - 20s, now - 2s, 1};
+    CHECK(mayReuse(old, Reuse::Any, now));
+    CHECK_FALSE(mayReuse(old, Reuse::Recent, now));
+    CHECK_FALSE(mayReuse({now, now, 1}, Reuse::None, now));
+    CHECK(attemptDeadline(Reuse::Any, now, now + 2s) == now + 1s);
+    CHECK(attemptDeadline(Reuse::Recent, now, now + 2s) == now + 2s);
+}
+
+// Guards against a target's connections being used up by idle ones.
+TEST_CASE("pool, with many or old idle connections, closes them")
+{
+    ScriptedServer server([](RawSocket &socket, unsigned) { socket.readAll(); });
+    ManualClock manual;
+    manual.advance(SteadyClock().now().time_since_epoch());
+    ConnectionPool pool(manual);
+    std::vector<std::unique_ptr<UpstreamSession>> sessions;
+    for (std::size_t i = 0; i < maxConnectionsPerTarget + 5; ++i)
+        sessions.push_back(
+                std::move(pool.open(server.endpoint(), SteadyClock().now() + 20s).value()));
+    for (auto &it : sessions)
+        pool.give(server.endpoint(), std::move(it));
+    CHECK(pool.openCount(server.endpoint()) == maxConnectionsPerTarget);
+    manual.advance(maxIdleTime);
+    pool.closeExpired();
+    CHECK(pool.openCount(server.endpoint()) == 0);
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/Tests/Process/PlatformClientTest.cpp
@@ -0,0 +1,31 @@
+#include "Connection/RawSocket.h"
+#include "Process/Http/ProcessHttp.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+using namespace Sapphireladder::Tests;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Process");
+
+// Guards against a platform connection that goes silent while new ones work.
+TEST_CASE("platform client, with a silent connection, recovers within 5 s")
+{
+    ScriptedServer server([](RawSocket &socket, unsigned number) {
+        socket.readUntil("\r\n\r\n");
+        socket.send(wholeAnswer("value"));
+        if (number == 0)
+            socket.readAll();
+    });
+    const SteadyClock clock;
+    PlatformClient client(server.endpoint(), 20s, clock);
+    const PlatformRequest request{"GET", "/tables/a/b", {}, {}};
+    REQUIRE(std::holds_alternative<WholeAnswer>(client.call(request)));
+    const auto start = clock.now();
+    CHECK(std::holds_alternative<WholeAnswer>(client.call(request)));
+    CHECK(clock.now() - start < 5s);
+    CHECK(server.connectionCount() == 2);
+}
+
+TEST_SUITE_END();
--- a/Tests/Scenarios/CommandLineTest.cpp
+++ b/Tests/Scenarios/CommandLineTest.cpp
@@ -32,8 +32,8 @@
 
 TEST_CASE_FIXTURE(CommandLineFixture, "check, with valid files, succeeds")
 {
-    const auto output = run({ "check", "--settings", samples + "vm-01.yaml", "--preset",
-                              samples + "ordinary.yaml" });
+    const auto output = run(
+            {"check", "--settings", samples + "vm-01.yaml", "--preset", samples + "ordinary.yaml"});
     CHECK(output.exitCode == 0);
     CHECK(output.out == "ok\n");
 }
@@ -41,7 +41,7 @@
 TEST_CASE_FIXTURE(CommandLineFixture, "check, with faults, names file and line of each")
 {
     const auto file = write("bad.yaml", "name: bad\ncolour: red\nservices: []\n");
-    const auto output = run({ "check", "--preset", file });
+    const auto output = run({"check", "--preset", file});
     CHECK(output.exitCode == 2);
     CHECK(output.err.find(file + ":2: unknown key: preset.colour") != std::string::npos);
     CHECK(output.err.find(file + ":3: preset has no service") != std::string::npos);
@@ -49,31 +49,31 @@
 
 TEST_CASE_FIXTURE(CommandLineFixture, "check, without any file, is a usage error")
 {
-    CHECK(run({ "check" }).exitCode == 2);
-    CHECK(run({ "check", "--preset", folder.path() + "/absent.yaml" }).exitCode == 2);
+    CHECK(run({"check"}).exitCode == 2);
+    CHECK(run({"check", "--preset", folder.path() + "/absent.yaml"}).exitCode == 2);
 }
 
 // Guards against a VM that starts with defaults in place of a setting that it could not read.
 TEST_CASE_FIXTURE(CommandLineFixture, "serve, with bad settings, does not start")
 {
     const auto file = write("vm.yaml", "vm: a\nlameduck: soon\n");
-    const auto output = run({ "serve", "--settings", file });
+    const auto output = run({"serve", "--settings", file});
     CHECK(output.exitCode == 2);
     CHECK(output.err.find(file + ":2: duration needs a number with unit") != std::string::npos);
 }
 
 TEST_CASE_FIXTURE(CommandLineFixture, "program, with an unknown command, prints the commands")
 {
-    const auto output = run({ "dance" });
+    const auto output = run({"dance"});
     CHECK(output.exitCode == 2);
     CHECK(output.err.find("preset") != std::string::npos);
-    CHECK(run({ "--help" }).exitCode == 0);
-    CHECK(run({ "serve", "--help" }).exitCode == 0);
+    CHECK(run({"--help"}).exitCode == 0);
+    CHECK(run({"serve", "--help"}).exitCode == 0);
 }
 
 TEST_CASE_FIXTURE(CommandLineFixture, "status, without a VM, says so")
 {
-    const auto output = run({ "status", "--admin", "127.0.0.1:9" });
+    const auto output = run({"status", "--admin", "127.0.0.1:9"});
     CHECK(output.exitCode == 3);
     CHECK(output.err.find("127.0.0.1:9") != std::string::npos);
 }
