Connection: Test the recovery from a silent connection

Cause: F6 was tested at the transport only, without the retry that completes the recovery.

Change: A test runs the executor over the transport against a target whose first connection goes silent.

Conclusion: The request is answered within its deadline by one retry on a new connection.

--- a/Tests/Connection/UpstreamTest.cpp
+++ b/Tests/Connection/UpstreamTest.cpp
@@ -247,6 +247,49 @@
     CHECK(endOf(attempt(silent.endpoint(), info.deadline - clock.now(), 1)) == "answered");
 }
 
+namespace {
+
+/** Takes a request to its outcome at one target, with every retry granted. */
+struct SilentTargetFixture
+    : TransportFixture
+    , TargetGate
+    , RetryTokens
+    , RequestObserver
+{
+    std::variant<TargetLease, RefusalReason> acquire(const RequestInfo &,
+                                                     std::span<const TargetId>) override
+    {
+        return TargetLease{&target, 0, nullptr};
+    }
+    void release(const TargetLease &, const AttemptResult &) override {}
+    void recordFirstAttempt() override {}
+    bool takeRetry() override { return true; }
+    void retried(RetryReason) override { ++retries; }
+    void retryDenied(RetryDenial) override {}
+
+    RequestOutcome run(Duration timeout)
+    {
+        info.deadline = clock.now() + timeout;
+        return RequestExecutor({*this, transport, *this, *this, clock}, policy).run(info, {}, body);
+    }
+
+    unsigned retries = 0;
+};
+
+} // namespace
+
+// Guards against open connections that go silent for good while new ones work (F6).
+TEST_CASE_FIXTURE(SilentTargetFixture, "executor, with a silent connection, answers in time")
+{
+    ScriptedServer server(silentAfterFirst(1));
+    target.endpoint = server.endpoint();
+    REQUIRE(std::holds_alternative<Answer>(run(20s)));
+    CHECK(std::holds_alternative<Answer>(run(4s)));
+    CHECK(clock.now() < info.deadline);
+    CHECK(retries == 1);
+    CHECK(server.connectionCount() == 2);
+}
+
 // Guards against repeats and unrepeatable requests on connections that may be silent.
 TEST_CASE("reuseFor, with each kind of attempt, restricts what cannot be repeated")
 {
