--- a/Tests/Connection/UpstreamTest.cpp
+++ b/Tests/Connection/UpstreamTest.cpp
@@ -262,6 +262,7 @@
         return TargetLease{&target, 0, nullptr};
     }
     void release(const TargetLease &, const AttemptResult &) override {}
+    void cancel(const TargetLease &) override {}
     void recordFirstAttempt() override {}
     bool takeRetry() override { return true; }
     void retried(RetryReason) override { ++retries; }
