Connection: Refuse to listen on an address in use

Cause: POCO's bind(address, true) sets SO_REUSEPORT too. A second process on the same port was given a part of the callers without a word; in a trial, requests to a VM were answered by another program. The scenarios' search for a free port took ports in use for free ones for the same reason.

Change: The listeners, the stand-ins and the search bind without SO_REUSEPORT. A test opens a second listener on the address of the first, which failed before the change. Two checks of counters wait for the count, since an outcome is counted after it was sent; one of them failed once in a run of all tests on a busy machine.

--- a/Source/Connection/Http/AcceptSocket.cpp
+++ b/Source/Connection/Http/AcceptSocket.cpp
@@ -15,7 +15,8 @@
     std::unique_ptr<AcceptSocket> result(new AcceptSocket);
     try {
         auto &socket = result->m_socket;
-        socket.bind(Poco::Net::SocketAddress(endpoint.host, endpoint.port), true);
+        // Without the last argument POCO lets another process listen on the same port.
+        socket.bind(Poco::Net::SocketAddress(endpoint.host, endpoint.port), true, false);
         socket.listen(SOMAXCONN);
         // A caller can be gone between the poll and the accept, which would then wait.
         socket.setBlocking(false);
--- a/Source/Process/Http/AdminServer.cpp
+++ b/Source/Process/Http/AdminServer.cpp
@@ -143,7 +143,8 @@
 {
     try {
         Poco::Net::ServerSocket socket;
-        socket.bind(Poco::Net::SocketAddress(endpoint.host, endpoint.port), true);
+        // Without the last argument POCO lets another process listen on the same port.
+        socket.bind(Poco::Net::SocketAddress(endpoint.host, endpoint.port), true, false);
         socket.listen();
         auto server = std::make_unique<Poco::Net::HTTPServer>(new AdminHandlerFactory(service),
                                                               socket, adminParams());
--- a/Tests/Connection/CallerTest.cpp
+++ b/Tests/Connection/CallerTest.cpp
@@ -142,7 +142,7 @@
         gone.reset();
     }
     CHECK(eventually([&] { return refused(RefusalReason::RequestCut) == 4; }));
-    CHECK(refused(RefusalReason::RequestTimeout) == 2);
+    CHECK(eventually([&] { return refused(RefusalReason::RequestTimeout) == 2; }));
     CHECK(served() == 0);
     CHECK(eventually([&] { return listener->connectionCount() == 0; }));
 }
@@ -176,10 +176,21 @@
     const auto answer = call(get(""));
     CHECK(answer.find("Sapphireladder-Outcome: not-run\r\n") != std::string::npos);
     CHECK(answer.find("Sapphireladder-Reason: connection-limit\r\n") != std::string::npos);
-    CHECK(refused(RefusalReason::ConnectionLimit) == 1);
+    // The outcome is counted after it was sent.
+    CHECK(eventually([&] { return refused(RefusalReason::ConnectionLimit) == 1; }));
     CHECK(served() == options.maxConnections);
 }
 
+// Guards against two processes that share a port, and so the callers, without a word.
+TEST_CASE_FIXTURE(CallerFixture, "listener, on an address in use, is not created")
+{
+    listen();
+    options.endpoint = listener->endpoint();
+    const auto second = CallerListener::create(options, *this);
+    REQUIRE_FALSE(second);
+    CHECK(second.error().code == ConnectionError::ListenFailed);
+}
+
 // Guards against a request that runs after its deadline passed in the queue for a traffic thread.
 TEST_CASE_FIXTURE(CallerFixture, "request, with a deadline that passed in the queue, is not run")
 {
--- a/Tests/Scenarios/Fleet.cpp
+++ b/Tests/Scenarios/Fleet.cpp
@@ -20,7 +20,10 @@
 bool isFree(std::uint16_t port)
 {
     try {
-        const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", port));
+        Poco::Net::ServerSocket socket;
+        // POCO's constructor would share the port with another process that listens on it.
+        socket.bind(Poco::Net::SocketAddress("127.0.0.1", port), true, false);
+        socket.listen();
         return true;
     } catch (const Poco::Exception &) {
         return false;
--- a/Tests/Testbed/HttpStandin.cpp
+++ b/Tests/Testbed/HttpStandin.cpp
@@ -153,7 +153,8 @@
     : m_connections(std::make_shared<OpenConnections>(std::move(handler)))
 {
     Poco::Net::ServerSocket socket;
-    socket.bind(Poco::Net::SocketAddress(endpoint.host, endpoint.port), true);
+    // Without the last argument POCO lets another process listen on the same port.
+    socket.bind(Poco::Net::SocketAddress(endpoint.host, endpoint.port), true, false);
     socket.listen(1024);
     m_server = std::make_unique<Poco::Net::TCPServer>(new StandinConnectionFactory(m_connections),
                                                       serverThreads(), socket, serverParams());
