--- a/Source/Process/Process.h
+++ b/Source/Process/Process.h
@@ -12,6 +12,7 @@
 #include "Process/FleetControl.h"
 #include "Process/FleetSnapshot.h"
 #include "Process/FleetStatus.h"
+#include "Process/InputRefusalLog.h"
 #include "Process/Membership.h"
 #include "Process/Metrics.h"
 #include "Process/ObservationQueue.h"
