Connection: Parse heads and chunked bodies by POCO

Cause: the users ask for HTTP by library. MessageReader and HeadParser were a parser of our own.

Change: HTTPRequest::read and HTTPResponse::read parse a head that was received up to its empty line. HTTPChunkedInputStream decodes chunked bodies through ChunkedSession, an HTTPSession. ChunkSource gives it the input of CountingSocketImpl, which now keeps the unread input. HeadCheck and ChunkSource keep the checks of raw text that POCO tolerates.

POCO 1.11 cannot be made to do the following, so a check stands next to the call: - It decodes words of RFC 2047 in fields. The field is changed and can hold a line end after that. The mark of such words is hidden from POCO. - It gives neither the size of a chunk nor a fault for a bad one, and leaves trailer fields unread. The size line is checked, and trailers are skipped. - It refuses a field name above 256 bytes, a value above 8,192 bytes and a reason phrase above 512 bytes, and offers no setting for it. Such heads were taken before, and are now refused as malformed.

Conclusion: the fields, start lines and chunk data come from POCO.

--- a/Source/Connection/Http/CallerConnection.cpp
+++ b/Source/Connection/Http/CallerConnection.cpp
@@ -37,7 +37,6 @@
     , m_connection(connection)
     , m_limits(limits)
     , m_closing(closing)
-    , m_reader(*connection)
     , m_readableSince(SteadyClock().now())
     , m_idleSince(m_readableSince)
 {}
@@ -46,7 +45,7 @@
 {
     Request request;
     // The start of a pipelined request was read together with the request before it.
-    request.arrival = m_reader.hasBufferedInput() ? m_reader.lastReceiveAt() : m_readableSince;
+    request.arrival = hasBufferedInput() ? m_connection->lastReceiveAt() : m_readableSince;
     m_connection->setDeadline(SteadyClock().now() + m_limits.readTimeout);
     const auto outcome = outcomeOf(request, service, random);
     if (!outcome)
@@ -62,7 +61,7 @@
 std::optional<RequestOutcome> CallerConnection::outcomeOf(Request &request, TrafficService &service,
                                                           RandomSource &random)
 {
-    const auto head = m_reader.readHead(maxHeadSize);
+    const auto head = readHead(*m_connection, maxHeadSize);
     if (!head) {
         // Nothing of a request was sent.
         if (head.error().code == ConnectionError::PeerClosed)
@@ -107,7 +106,7 @@
     if (hasBody && waits && framing.length <= m_limits.bodyLimit) {
         TRY(m_connection->sendAll("HTTP/1.1 100 Continue\r\n\r\n"));
     }
-    return m_reader.readBody(framing, m_limits.bodyLimit);
+    return Sapphireladder::readBody(*m_connection, framing, m_limits.bodyLimit);
 }
 
 AfterRequest CallerConnection::answer(const Request &request, const RequestOutcome &outcome,
--- a/Source/Connection/Http/CallerConnection.h
+++ b/Source/Connection/Http/CallerConnection.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "Connection/Http/MessageReader.h"
+#include "Connection/Http/CountingSocketImpl.h"
 #include "Connection/Http/TrafficService.h"
+#include "Request/Http/RequestHttp.h"
 
 #include <Poco/Net/StreamSocket.h>
 
@@ -52,7 +53,7 @@
     void setReadableSince(TimePoint time) { m_readableSince = time; }
 
     /** @return whether the next request was already read and no poll will report it. */
-    bool hasBufferedInput() const { return m_reader.hasBufferedInput(); }
+    bool hasBufferedInput() const { return !m_connection->unread().empty(); }
     const Poco::Net::StreamSocket &socket() const { return m_socket; }
     TimePoint idleSince() const { return m_idleSince; }
 
@@ -77,7 +78,6 @@
     CountingSocketImpl *m_connection;
     CallerLimits m_limits;
     const std::atomic<bool> &m_closing;
-    MessageReader m_reader;
     TimePoint m_readableSince;
     TimePoint m_idleSince;
 };
--- /dev/null
+++ b/Source/Connection/Http/ChunkSource.cpp
@@ -0,0 +1,118 @@
+#include "Connection/Http/ConnectionHttp.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Sapphireladder {
+
+namespace {
+
+constexpr std::string_view lineEnd = "\r\n";
+/** Longest line that states a chunk's size, extensions included. */
+constexpr std::size_t maxChunkLine = 256;
+
+} // namespace
+
+Error cutIfClosed(Error error)
+{
+    if (error.code == ConnectionError::PeerClosed)
+        return makeError(ConnectionError::MessageCut);
+    return error;
+}
+
+ChunkSource::ChunkSource(CountingSocketImpl &connection, std::size_t limit)
+    : m_connection(connection)
+    , m_remainingLimit(limit)
+{}
+
+int ChunkSource::receiveBytes(void *buffer, int /*length*/, int /*flags*/)
+{
+    if (!hasInput())
+        return 0;
+    const char c = m_connection.unread().front();
+    m_connection.consume(1);
+    m_text.push_back(c);
+    // POCO takes a bare line feed as the end of a line and bounds no line.
+    if ((c == '\n' && !m_text.ends_with(lineEnd)) || m_text.size() > maxHeadSize) {
+        m_fault = makeError(ConnectionError::BadFraming);
+        return 0;
+    }
+    *static_cast<char *>(buffer) = c;
+    return 1;
+}
+
+std::size_t ChunkSource::readData(std::span<char> buffer)
+{
+    if (!m_text.empty())
+        checkSizeLine();
+    if (!hasInput())
+        return 0;
+    const auto part = m_connection.unread().substr(0, buffer.size());
+    std::copy(part.begin(), part.end(), buffer.begin());
+    const auto size = part.size();
+    m_connection.consume(size);
+    return size;
+}
+
+Result<> ChunkSource::finish()
+{
+    const auto size = statedSize();
+    if (!m_fault && size != std::size_t{0})
+        m_fault = makeError(ConnectionError::BadFraming);
+    char c = 0;
+    while (!m_fault && !m_text.ends_with("\r\n\r\n"))
+        receiveBytes(&c, 1, 0);
+    if (m_fault)
+        return *m_fault;
+    return success();
+}
+
+bool ChunkSource::hasInput()
+{
+    if (!m_fault && m_connection.unread().empty()) {
+        if (auto filled = m_connection.fill(); !filled)
+            m_fault = cutIfClosed(filled.error());
+    }
+    return !m_fault;
+}
+
+void ChunkSource::checkSizeLine()
+{
+    if (m_fault)
+        return;
+    const auto size = statedSize();
+    if (!size)
+        m_fault = makeError(ConnectionError::BadFraming);
+    else if (*size > m_remainingLimit)
+        m_fault = makeError(ConnectionError::BodyTooLarge);
+    else
+        m_remainingLimit -= *size;
+    m_text.clear();
+    m_isFirstChunk = false;
+}
+
+/**
+ * POCO does not tell the size of a chunk, skips any white space before it and takes any text as the
+ * end of a chunk's data.
+ */
+std::optional<std::size_t> ChunkSource::statedSize() const
+{
+    std::string_view text(m_text);
+    if (!m_isFirstChunk) {
+        if (!text.starts_with(lineEnd))
+            return std::nullopt;
+        text.remove_prefix(lineEnd.size());
+    }
+    const auto line = text.substr(0, text.find(lineEnd));
+    const auto digits = line.substr(0, line.find(';'));
+    std::size_t size = 0;
+    const auto *end = digits.data() + digits.size();
+    constexpr int hexadecimal = 16;
+    const auto [stop, ec] = std::from_chars(digits.data(), end, size, hexadecimal);
+    if (line.size() == text.size() || line.size() > maxChunkLine || digits.empty()
+        || ec != std::errc() || stop != end)
+        return std::nullopt;
+    return size;
+}
+
+} // namespace Sapphireladder
--- a/Source/Connection/Http/CountingSocketImpl.cpp
+++ b/Source/Connection/Http/CountingSocketImpl.cpp
@@ -22,6 +22,26 @@
     : StreamSocketImpl(fd)
 {}
 
+Result<> CountingSocketImpl::fill()
+{
+    char buf[16384];
+    TRY_ASSIGN(n, receive(buf));
+    if (n == 0)
+        return makeError(ConnectionError::PeerClosed);
+    m_input.append(buf, n);
+    m_lastReceiveAt = SteadyClock().now();
+    return success();
+}
+
+void CountingSocketImpl::consume(std::size_t size)
+{
+    m_position += size;
+    if (m_position < m_input.size())
+        return;
+    m_position = 0;
+    m_input = std::string();
+}
+
 Result<std::size_t> CountingSocketImpl::receive(std::span<char> buffer)
 {
     while (true) {
--- a/Source/Connection/Http/CountingSocketImpl.h
+++ b/Source/Connection/Http/CountingSocketImpl.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
 #include <string_view>
 
 namespace Sapphireladder {
@@ -23,11 +24,16 @@
     explicit CountingSocketImpl(poco_socket_t fd);
 
     /**
-     * Reads what is there, and waits for something until the deadline.
-     * @return number of bytes, 0 after the peer's close, or ConnectionError::ConnectionReset or
-     * DeadlinePassed.
+     * Adds what is there to the unread input, and waits for something until the deadline.
+     * @return ConnectionError::PeerClosed, ConnectionReset or DeadlinePassed on failure.
      */
-    Result<std::size_t> receive(std::span<char> buffer);
+    Result<> fill();
+    /** @return input that was received and not consumed. */
+    std::string_view unread() const { return std::string_view(m_input).substr(m_position); }
+    /** Removes the first bytes of the unread input. */
+    void consume(std::size_t size);
+    /** @return when input was last received. */
+    TimePoint lastReceiveAt() const { return m_lastReceiveAt; }
 
     /** Sends everything. @return ConnectionError::ConnectionReset or DeadlinePassed on failure. */
     Result<> sendAll(std::string_view bytes);
@@ -50,10 +56,15 @@
     ~CountingSocketImpl() override = default;
 
 private:
+    Result<std::size_t> receive(std::span<char> buffer);
     Result<> waitUntilReady(short event);
 
     TimePoint m_deadline = TimePoint::max();
     std::uint64_t m_bytesSent = 0;
+    /** Empty while the connection is idle, since most connections are idle. */
+    std::string m_input;
+    std::size_t m_position = 0;
+    TimePoint m_lastReceiveAt{};
 };
 
 } // namespace Sapphireladder
--- a/Source/Connection/Http/HttpExchange.cpp
+++ b/Source/Connection/Http/HttpExchange.cpp
@@ -23,12 +23,12 @@
 }
 
 /** Reads the final answer's head, past interim answers such as 103. */
-Result<> readAnswerHead(MessageReader &reader, Poco::Net::HTTPResponse &message)
+Result<> readAnswerHead(CountingSocketImpl &connection, Poco::Net::HTTPResponse &message)
 {
     constexpr unsigned switchingProtocols = 101;
     constexpr unsigned firstFinal = 200;
     while (true) {
-        TRY_ASSIGN(head, reader.readHead(maxHeadSize));
+        TRY_ASSIGN(head, readHead(connection, maxHeadSize));
         message.clear();
         if (!parseAnswerHead(head, message))
             return makeError(ConnectionError::HeadMalformed);
@@ -45,17 +45,17 @@
                                std::size_t bodyLimit)
 {
     WholeAnswer answer;
-    TRY(readAnswerHead(session.reader(), answer.head));
+    TRY(readAnswerHead(session.connection(), answer.head));
     const auto framing = framingOf(answer.head);
     if (!framing)
         return makeError(ConnectionError::BadFraming);
     if (!hasNoBody(method, static_cast<unsigned>(answer.head.getStatus()))) {
         if (framing->kind == FramingKind::None)
             return makeError(ConnectionError::NoLength);
-        TRY_ASSIGN(body, session.reader().readBody(*framing, bodyLimit));
+        TRY_ASSIGN(body, readBody(session.connection(), *framing, bodyLimit));
         answer.body = std::move(body);
     }
-    answer.reusable = keepsConnection(answer.head) && !session.reader().hasBufferedInput();
+    answer.reusable = keepsConnection(answer.head) && session.connection().unread().empty();
     return answer;
 }
 
--- /dev/null
+++ b/Source/Connection/Http/MessageInput.cpp
@@ -0,0 +1,72 @@
+#include "Connection/Http/ConnectionHttp.h"
+
+#include <algorithm>
+
+namespace Sapphireladder {
+
+namespace {
+
+constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+/** RFC 9112 lets a server skip empty lines before a request. */
+void skipEmptyLines(CountingSocketImpl &connection)
+{
+    while (connection.unread().starts_with(lineEnd))
+        connection.consume(lineEnd.size());
+}
+
+/** POCO ends a body that was cut as if it were whole, so that its bytes are counted here. */
+Result<std::string> readCounted(CountingSocketImpl &connection, std::size_t size)
+{
+    std::string body;
+    while (true) {
+        const auto part = connection.unread().substr(0, size - body.size());
+        body.append(part);
+        connection.consume(part.size());
+        if (body.size() == size)
+            return body;
+        if (auto filled = connection.fill(); !filled)
+            return cutIfClosed(filled.error());
+    }
+}
+
+} // namespace
+
+Result<std::string> readHead(CountingSocketImpl &connection, std::size_t limit)
+{
+    skipEmptyLines(connection);
+    std::size_t searched = 0;
+    while (true) {
+        const auto text = connection.unread();
+        const auto end = text.find(headEnd, searched);
+        if (std::min(end, text.size()) > limit)
+            return makeError(ConnectionError::HeadTooLarge);
+        if (hasBareLineFeed(text.substr(0, end)))
+            return makeError(ConnectionError::HeadMalformed);
+        if (end != std::string_view::npos) {
+            std::string head(text.substr(0, end + lineEnd.size()));
+            connection.consume(end + headEnd.size());
+            return head;
+        }
+        searched = text.size() < headEnd.size() ? 0 : text.size() - headEnd.size() + 1;
+        if (auto filled = connection.fill(); !filled)
+            return text.empty() ? filled.error() : cutIfClosed(filled.error());
+        if (searched == 0)
+            skipEmptyLines(connection);
+    }
+}
+
+Result<std::string> readBody(CountingSocketImpl &connection, const MessageFraming &framing,
+                             std::size_t limit)
+{
+    if (framing.kind == FramingKind::None)
+        return std::string();
+    if (framing.kind == FramingKind::Chunked)
+        return ChunkedSession(connection, limit).readBody();
+    if (framing.length > limit)
+        return makeError(ConnectionError::BodyTooLarge);
+    return readCounted(connection, static_cast<std::size_t>(framing.length));
+}
+
+} // namespace Sapphireladder
--- a/Source/Connection/Http/UpstreamSession.cpp
+++ b/Source/Connection/Http/UpstreamSession.cpp
@@ -28,7 +28,6 @@
     : m_endpoint(endpoint)
     , m_socket(socket)
     , m_connection(connection)
-    , m_reader(*connection)
 {
     const auto now = SteadyClock().now();
     m_record = {now, now, 0};
@@ -42,7 +41,7 @@
 
 bool UpstreamSession::hasUnexpectedInput()
 {
-    return m_reader.hasBufferedInput() || m_connection->hasPendingInput();
+    return !m_connection->unread().empty() || m_connection->hasPendingInput();
 }
 
 void UpstreamSession::countIn(std::shared_ptr<std::atomic<std::size_t>> count)
--- a/Source/Connection/Http/UpstreamSession.h
+++ b/Source/Connection/Http/UpstreamSession.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Connection/Connection.h"
-#include "Connection/Http/MessageReader.h"
+#include "Connection/Http/CountingSocketImpl.h"
 
 #include <Poco/Net/StreamSocket.h>
 
@@ -30,7 +30,6 @@
     UpstreamSession &operator=(const UpstreamSession &) = delete;
 
     CountingSocketImpl &connection() { return *m_connection; }
-    MessageReader &reader() { return m_reader; }
     ConnectionRecord &record() { return m_record; }
     const Endpoint &endpoint() const { return m_endpoint; }
 
@@ -48,7 +47,6 @@
     Endpoint m_endpoint;
     Poco::Net::StreamSocket m_socket;
     CountingSocketImpl *m_connection;
-    MessageReader m_reader;
     ConnectionRecord m_record;
     std::shared_ptr<std::atomic<std::size_t>> m_openCount;
 };
--- a/Source/Request/Http/HeadParser.cpp
+++ b/Source/Request/Http/HeadCheck.cpp
@@ -1,5 +1,7 @@
 #include "Request/Http/RequestHttp.h"
 
+#include <Poco/Exception.h>
+#include <Poco/MemoryStream.h>
 #include <Poco/String.h>
 
 #include <algorithm>
@@ -12,7 +14,6 @@
 using Poco::Net::HTTPRequest;
 using Poco::Net::HTTPResponse;
 
-constexpr std::size_t maxMethodLength = 32;
 constexpr std::string_view whitespace = " \t";
 
 bool isVisible(char c)
@@ -62,21 +63,47 @@
     return part;
 }
 
-bool parseFields(std::string_view lines, HTTPMessage &message)
+/** @return whether each line is a field that all readers take alike. */
+bool hasPlainFields(std::string_view lines)
 {
     while (!lines.empty()) {
         const auto line = takeUntil(lines, "\r\n");
         const auto colon = line.find(':');
-        if (colon == std::string_view::npos || !isToken(line.substr(0, colon)))
+        if (colon == std::string_view::npos || !isToken(line.substr(0, colon))
+            || !isFieldText(line.substr(colon + 1)))
             return false;
-        const auto value = trimmed(line.substr(colon + 1));
-        if (!isFieldText(value))
-            return false;
-        message.add(std::string(line.substr(0, colon)), std::string(value));
     }
     return true;
 }
 
+/**
+ * Parses the head by POCO. POCO decodes the words of RFC 2047 in fields, which are no part of HTTP:
+ * a field would be passed on changed, or with a line end in it. A control character, which no valid
+ * head holds, hides the mark of such words meanwhile.
+ * @return whether POCO took the head.
+ */
+bool parse(std::string_view head, HTTPMessage &message)
+{
+    static constexpr const char *wordMark = "=?";
+    static constexpr const char *hiddenMark = "=\x01";
+    auto text = Poco::replace(std::string(head), wordMark, hiddenMark, head.find("\r\n"));
+    // The size of a head is bounded, and so is the number of its fields.
+    message.setFieldLimit(0);
+    Poco::MemoryInputStream in(text.data(), static_cast<std::streamsize>(text.size()));
+    try {
+        message.read(in);
+    } catch (const Poco::Exception &) {
+        return false;
+    }
+    if (text == head)
+        return true;
+    Poco::Net::NameValueCollection fields;
+    fields.swap(message);
+    for (const auto &[name, value] : fields)
+        message.add(name, Poco::replace(value, hiddenMark, wordMark));
+    return true;
+}
+
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
     return Poco::icompare(std::string(a), std::string(b)) == 0;
@@ -84,35 +111,38 @@
 
 } // namespace
 
+bool hasBareLineFeed(std::string_view text)
+{
+    for (auto n = text.find('\n'); n != std::string_view::npos; n = text.find('\n', n + 1)) {
+        if (n == 0 || text[n - 1] != '\r')
+            return true;
+    }
+    return false;
+}
+
 bool parseRequestHead(std::string_view head, HTTPRequest &message)
 {
-    auto line = takeUntil(head, "\r\n");
-    const auto method = takeUntil(line, " ");
-    const auto target = takeUntil(line, " ");
-    const bool valid = isToken(method) && method.size() <= maxMethodLength && !target.empty()
-                       && std::all_of(target.begin(), target.end(), isVisible) && isVersion(line);
-    if (!valid)
+    if (!parse(head, message))
         return false;
-    message.setMethod(std::string(method));
-    message.setURI(std::string(target));
-    message.setVersion(std::string(line));
-    return parseFields(head, message);
+    const auto &uri = message.getURI();
+    // POCO skips any white space in the request line and all text after the version.
+    const auto line = message.getMethod() + ' ' + uri + ' ' + message.getVersion();
+    return takeUntil(head, "\r\n") == line && isToken(message.getMethod())
+           && std::all_of(uri.begin(), uri.end(), isVisible) && isVersion(message.getVersion())
+           && hasPlainFields(head);
 }
 
 bool parseAnswerHead(std::string_view head, HTTPResponse &message)
 {
-    auto line = takeUntil(head, "\r\n");
-    const auto version = takeUntil(line, " ");
-    const auto status = parseUnsigned(takeUntil(line, " "));
-    constexpr unsigned minStatus = 100;
-    constexpr unsigned maxStatus = 599;
-    if (!isVersion(version) || !status || status.value() < minStatus || status.value() > maxStatus
-        || !isFieldText(line))
+    if (!parse(head, message))
         return false;
-    message.setStatusAndReason(static_cast<HTTPResponse::HTTPStatus>(status.value()),
-                               std::string(line));
-    message.setVersion(std::string(version));
-    return parseFields(head, message);
+    constexpr int minStatus = 100;
+    constexpr int maxStatus = 599;
+    const int status = message.getStatus();
+    auto line = takeUntil(head, "\r\n");
+    return takeUntil(line, " ") == message.getVersion() && isVersion(message.getVersion())
+           && takeUntil(line, " ") == std::to_string(status) && status >= minStatus
+           && status <= maxStatus && isFieldText(line) && hasPlainFields(head);
 }
 
 std::optional<MessageFraming> framingOf(const HTTPMessage &message)
--- a/Source/Request/Http/HeadParser.h
+++ b/Source/Request/Http/HeadCheck.h
@@ -24,9 +24,12 @@
     std::uint64_t length = 0;
 };
 
+/** @return whether a line ends with a line feed only. Such an end would be waited for in vain. */
+bool hasBareLineFeed(std::string_view text);
+
 /**
- * Reads the head of a request. Stricter than POCO: folded lines, spaces before a colon and control
- * characters are refused, since two readers may take them differently.
+ * Parses the head of a request by POCO. Folded lines, spaces before a colon and control characters,
+ * which POCO takes, are refused, since two readers may take them differently.
  * @param head lines that each end with CR LF, without the empty line
  * @param message receives the request line and the fields
  * @return whether the head is a valid HTTP/1.0 or HTTP/1.1 request.
--- a/Tests/Connection/CallerTest.cpp
+++ b/Tests/Connection/CallerTest.cpp
@@ -83,6 +83,39 @@
     CHECK(call(get("")).starts_with("HTTP/1.1 200 OK"));
 }
 
+// Guards against bodies whose chunks POCO takes, but another reader takes differently or waits for.
+TEST_CASE_FIXTURE(CallerFixture, "caller, with chunks that POCO tolerates, is refused")
+{
+    listen();
+    for (const std::string &it :
+         {std::string("2\nhi\r\n0\r\n\r\n"), std::string(" 2\r\nhi\r\n0\r\n\r\n"),
+          std::string("2 \r\nhi\r\n0\r\n\r\n"), std::string("\r\n2\r\nhi\r\n0\r\n\r\n"),
+          std::string("2\r\nhi0\r\n\r\n"), std::string("2\r\nhi\r\n\r\n0\r\n\r\n"),
+          std::string("2\r\nhi\r\n0\n"), std::string("0\r\nA: b\n"), std::string("0x2\r\nhi"),
+          std::string("\r\n\r\n0\r\n\r\n"), std::string("fffffffff\r\n"),
+          "2;" + std::string(300, 'x') + "\r\nhi\r\n0\r\n\r\n",
+          "0\r\nA: " + std::string(maxHeadSize, 'x')}) {
+        CAPTURE(it);
+        const auto answer = call(post("Transfer-Encoding: chunked\r\n\r\n" + it));
+        CHECK(answer.find("Sapphireladder-Reason: bad-framing\r\n") != std::string::npos);
+    }
+    CHECK(served() == 0);
+}
+
+// Guards against trailer fields, which POCO leaves unread, that are taken for the next request.
+TEST_CASE_FIXTURE(CallerFixture, "caller, with trailers before another request, has both answered")
+{
+    listen();
+    for (const auto *it : {"", "A: b\r\n", "A: b\r\nC: d\r\nE: f\r\n"}) {
+        RawSocket socket(listener->endpoint());
+        socket.send(post("Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n00\r\n") + it + "\r\n"
+                    + get("Connection: close\r\n"));
+        CHECK(socket.readAnswer().ends_with("/a|hi"));
+        CHECK(socket.readAll().ends_with("/a|"));
+    }
+    CHECK(served() == 6);
+}
+
 // Guards against a refusal that is lost because the kernel resets a connection with input unread.
 TEST_CASE_FIXTURE(CallerFixture, "caller, while it sends a body too large, reads the refusal")
 {
--- /dev/null
+++ b/Tests/Request/HeadCheckTest.cpp
@@ -0,0 +1,84 @@
+#include "Request/Http/RequestHttp.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+
+TEST_SUITE_BEGIN("Request");
+
+namespace {
+
+struct HeadFixture
+{
+    bool parseRequest(std::string_view line, std::string_view fields = "Host: a\r\n")
+    {
+        request.clear();
+        return parseRequestHead(std::string(line) + "\r\n" + std::string(fields), request);
+    }
+    bool parseAnswer(std::string_view line)
+    {
+        return parseAnswerHead(std::string(line) + "\r\nContent-Length: 0\r\n", answer);
+    }
+
+    Poco::Net::HTTPRequest request;
+    Poco::Net::HTTPResponse answer;
+};
+
+} // namespace
+
+// Guards against fields that POCO decodes by RFC 2047: changed, or with a line end put in.
+TEST_CASE_FIXTURE(HeadFixture, "request head, with encoded words, keeps its fields as they are")
+{
+    REQUIRE(parseRequest("GET /q?a=?b HTTP/1.1", "X: =?utf-8?Q?a=0D=0AB:_c?=\r\n"
+                                                 "Referer: /q?a=?b&c=?d\r\nEmpty:\r\n"
+                                                 "Spaced: \t a b \t\r\n"));
+    CHECK(request.getURI() == "/q?a=?b");
+    CHECK(request.get("X") == "=?utf-8?Q?a=0D=0AB:_c?=");
+    CHECK(request.get("Referer") == "/q?a=?b&c=?d");
+    CHECK(request.get("Empty").empty());
+    CHECK(request.get("Spaced") == "a b");
+    CHECK_FALSE(parseRequest("GET /a HTTP/1.1", "X: =\x01utf-8\r\n"));
+}
+
+// Guards against request lines of which POCO skips a part.
+TEST_CASE_FIXTURE(HeadFixture, "request head, with a line that POCO mends, is refused")
+{
+    CHECK(parseRequest("GET /a HTTP/1.0"));
+    CHECK(parseRequest("GET /a HTTP/1.1"));
+    for (const auto *it : {"GET /a HTTP/1.1 x", "GET  /a HTTP/1.1", "GET /a HTTP/1.1 ",
+                           " GET /a HTTP/1.1", "GET /a\tb HTTP/1.1", "GET /a\vb HTTP/1.1",
+                           "GET /a HTTP/1.11", "GET /\xff HTTP/1.1", "GET /a", ""}) {
+        CAPTURE(it);
+        CHECK_FALSE(parseRequest(it));
+    }
+}
+
+// Guards against fields beyond POCO's limits that are cut instead of refused.
+TEST_CASE_FIXTURE(HeadFixture, "request head, with many or long fields, is whole or refused")
+{
+    std::string many;
+    for (int i = 0; i < 2000; ++i)
+        many += "X: 1\r\n";
+    REQUIRE(parseRequest("GET /a HTTP/1.1", many));
+    CHECK(request.size() == 2000);
+    const std::string longest(8192, 'x');
+    REQUIRE(parseRequest("GET /a HTTP/1.1", "X: " + longest + "\r\n"));
+    CHECK(request.get("X") == longest);
+    CHECK_FALSE(parseRequest("GET /a HTTP/1.1", "X: x" + longest + "\r\n"));
+    CHECK_FALSE(parseRequest("GET /a HTTP/1.1", std::string(257, 'n') + ": x\r\n"));
+}
+
+// Guards against status lines of which POCO skips a part.
+TEST_CASE_FIXTURE(HeadFixture, "answer head, with a line that POCO mends, is refused")
+{
+    for (const auto *it : {"HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 a b"})
+        CHECK(parseAnswer(it));
+    for (const auto *it :
+         {"HTTP/1.1 099 x", "HTTP/1.1 600 x", "HTTP/1.1 2000 x", "HTTP/1.1 20 x", "HTTP/1.1 2x0 x",
+          "HTTP/1.1 -20 x", "HTTP/1.1  200 x", "HTTP/2.0 200 x", "HTTP/1.1 200 a\x01", ""}) {
+        CAPTURE(it);
+        CHECK_FALSE(parseAnswer(it));
+    }
+}
+
+TEST_SUITE_END();
