--- a/Source/Core/Event.cpp
+++ b/Source/Core/Event.cpp
@@ -12,7 +12,6 @@
         {EventId::ProcessReady, Severity::Info, "process-ready"},
         {EventId::ProcessNotReady, Severity::Warning, "process-not-ready"},
         {EventId::ProcessStopped, Severity::Info, "process-stopped"},
-        {EventId::SettingsInvalid, Severity::Error, "settings-invalid"},
         {EventId::PresetApplied, Severity::Info, "preset-applied"},
         {EventId::PresetOlderIgnored, Severity::Warning, "preset-older-ignored"},
         {EventId::PresetDigestMismatch, Severity::Error, "preset-digest-mismatch"},
@@ -36,7 +35,6 @@
         {EventId::StoreRecovered, Severity::Info, "store-recovered"},
         {EventId::VmListUnavailable, Severity::Warning, "vm-list-unavailable"},
         {EventId::ShutdownStep, Severity::Info, "shutdown-step"},
-        {EventId::ShutdownForced, Severity::Error, "shutdown-forced"},
 };
 
 } // namespace
--- a/Source/Core/Event.h
+++ b/Source/Core/Event.h
@@ -21,7 +21,6 @@
     ProcessReady = 101,
     ProcessNotReady = 102,
     ProcessStopped = 103,
-    SettingsInvalid = 110,
     PresetApplied = 200,
     PresetOlderIgnored = 201,
     PresetDigestMismatch = 202,
@@ -45,7 +44,6 @@
     StoreRecovered = 601,
     VmListUnavailable = 602,
     ShutdownStep = 700,
-    ShutdownForced = 701,
 };
 
 /** What the catalogue says of one event. */
--- a/Source/Process/ControlState.cpp
+++ b/Source/Process/ControlState.cpp
@@ -131,9 +131,13 @@
 {
     m_fetch.ended(message.inForce.version, message.snapshot.has_value(), m_clock.now(), m_random);
     if (!message.snapshot) {
-        m_events.record(EventId::PresetBodyUnavailable,
+        const auto &error = message.snapshot.error();
+        // A fault that the reader found stays, while a text that could not be read may come.
+        const bool isInvalid = error.code.category()
+                               == make_error_code(VersionError::InvalidYaml).category();
+        m_events.record(isInvalid ? EventId::PresetBodyInvalid : EventId::PresetBodyUnavailable,
                         {{"version", std::to_string(message.inForce.version)},
-                         {"error", message.snapshot.error().toString()}});
+                         {"error", error.toString()}});
         fetchIfDue();
         return;
     }
