--- a/Source/Connection/Http/ConnectionError.cpp
+++ b/Source/Connection/ConnectionError.cpp
@@ -1,4 +1,4 @@
-#include "Connection/Http/ConnectionHttp.h"
+#include "Connection/Connection.h"
 
 namespace Sapphireladder {
 
--- a/Source/Connection/Http/ConnectionHttp.h
+++ b/Source/Connection/Http/ConnectionHttp.h
@@ -8,7 +8,6 @@
 #include "Connection/Http/CallerListener.h"
 #include "Connection/Http/ChunkSource.h"
 #include "Connection/Http/ChunkedSession.h"
-#include "Connection/Http/ConnectionError.h"
 #include "Connection/Http/ConnectionPool.h"
 #include "Connection/Http/CountingSocketImpl.h"
 #include "Connection/Http/HttpExchange.h"
--- /dev/null
+++ b/Source/Connection/Loop/AnswerReader.cpp
@@ -0,0 +1,94 @@
+#include "Connection/Loop/ConnectionLoop.h"
+
+#include <Poco/Net/HTTPResponse.h>
+
+namespace Sapphireladder {
+
+namespace {
+
+constexpr unsigned switchingProtocols = 101;
+constexpr unsigned firstFinal = 200;
+constexpr unsigned noContent = 204;
+constexpr unsigned notModified = 304;
+
+std::optional<Duration> statedIdleTimeout(const Poco::Net::HTTPMessage &message)
+{
+    constexpr std::string_view key = "timeout=";
+    const auto value = message.get("Keep-Alive", "");
+    const auto start = value.find(key);
+    if (start == std::string::npos)
+        return std::nullopt;
+    const auto digits = value.substr(start + key.size(),
+                                     value.find_first_of(", ", start) - start - key.size());
+    const auto seconds = parseUnsigned(digits);
+    if (!seconds)
+        return std::nullopt;
+    return std::chrono::seconds(std::min<std::uint64_t>(seconds.value(), 3600));
+}
+
+BodyEnd bodyEndOf(FramingKind kind)
+{
+    switch (kind) {
+    case FramingKind::Length:
+        return BodyEnd::Length;
+    case FramingKind::Chunked:
+        return BodyEnd::Chunked;
+    case FramingKind::None:
+        break;
+    }
+    return BodyEnd::Close;
+}
+
+} // namespace
+
+AnswerReader::AnswerReader(bool isBodyless, std::size_t bodyLimit)
+    : m_isBodyless(isBodyless)
+    , m_bodyLimit(bodyLimit)
+{}
+
+ReadProgress AnswerReader::feed(std::string_view &input)
+{
+    while (!m_hasHead) {
+        auto progress = m_head.feed(input);
+        if (progress == ReadProgress::Complete)
+            progress = readHead();
+        if (progress != ReadProgress::Complete)
+            return progress;
+    }
+    return m_body.feed(input);
+}
+
+ReadProgress AnswerReader::readHead()
+{
+    Poco::Net::HTTPResponse head;
+    if (!parseAnswerHead(m_head.lines(), head))
+        return ReadProgress::Malformed;
+    m_head.clear();
+    m_answer.status = static_cast<unsigned>(head.getStatus());
+    // No request asks for another protocol.
+    if (m_answer.status == switchingProtocols)
+        return ReadProgress::Malformed;
+    if (m_answer.status < firstFinal)
+        return ReadProgress::Complete;
+    const auto framing = framingOf(head);
+    if (!framing)
+        return ReadProgress::Malformed;
+    for (const auto &[name, value] : head)
+        m_answer.headers.push_back({name, value});
+    const bool hasNoBody = m_isBodyless || m_answer.status == noContent
+                           || m_answer.status == notModified;
+    const auto end = hasNoBody ? BodyEnd::None : bodyEndOf(framing->kind);
+    m_body = BodyDecoder(end, framing->length, m_bodyLimit);
+    m_keepsConnection = Sapphireladder::keepsConnection(head) && end != BodyEnd::Close;
+    m_idleTimeout = statedIdleTimeout(head);
+    m_hasHead = true;
+    return ReadProgress::Complete;
+}
+
+Answer AnswerReader::takeAnswer()
+{
+    m_answer.body = m_body.takeBody();
+    return std::move(m_answer);
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Connection/Loop/BodyDecoder.cpp
@@ -0,0 +1,127 @@
+#include "Connection/Loop/ConnectionLoop.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace Sapphireladder {
+
+namespace {
+
+/** Longest line between chunks in bytes: a size with extensions, or a trailer field. */
+constexpr std::size_t maxChunkLine = 4 * kibibyte;
+/** Hexadecimal digits of the largest chunk size that is taken; far above any body limit. */
+constexpr std::size_t maxSizeDigits = 12;
+
+std::optional<std::uint64_t> parseChunkSize(std::string_view line)
+{
+    const auto digits = line.substr(0, line.find_first_of("; \t"));
+    const auto *end = digits.data() + digits.size();
+    std::uint64_t size = 0;
+    const auto [stop, ec] = std::from_chars(digits.data(), end, size, 16);
+    if (digits.empty() || digits.size() > maxSizeDigits || ec != std::errc() || stop != end)
+        return std::nullopt;
+    return size;
+}
+
+} // namespace
+
+BodyDecoder::BodyDecoder(BodyEnd end, std::uint64_t length, std::size_t limit)
+    : m_end(end)
+    , m_remaining(length)
+    , m_limit(limit)
+{}
+
+ReadProgress BodyDecoder::feed(std::string_view &input)
+{
+    switch (m_end) {
+    case BodyEnd::None:
+        return ReadProgress::Complete;
+    case BodyEnd::Length:
+        if (m_remaining > m_limit)
+            return ReadProgress::TooLarge;
+        append(input, m_remaining);
+        return m_remaining == 0 ? ReadProgress::Complete : ReadProgress::NeedMore;
+    case BodyEnd::Chunked:
+        return feedChunked(input);
+    case BodyEnd::Close:
+        break;
+    }
+    m_remaining = input.size();
+    return append(input, m_remaining);
+}
+
+ReadProgress BodyDecoder::append(std::string_view &input, std::uint64_t size)
+{
+    const auto part = input.substr(0, size);
+    if (m_body.size() + part.size() > m_limit)
+        return ReadProgress::TooLarge;
+    m_body.append(part);
+    m_remaining -= part.size();
+    input.remove_prefix(part.size());
+    return ReadProgress::NeedMore;
+}
+
+ReadProgress BodyDecoder::feedChunked(std::string_view &input)
+{
+    while (m_chunkState != ChunkState::Done) {
+        if (input.empty())
+            return ReadProgress::NeedMore;
+        const bool isData = m_chunkState == ChunkState::Data;
+        const auto progress = isData ? append(input, m_remaining) : takeLine(input);
+        if (progress == ReadProgress::Malformed || progress == ReadProgress::TooLarge)
+            return progress;
+        if (isData && m_remaining == 0)
+            m_chunkState = ChunkState::DataEnd;
+    }
+    return ReadProgress::Complete;
+}
+
+ReadProgress BodyDecoder::takeLine(std::string_view &input)
+{
+    const auto end = input.find('\n');
+    const auto size = end == std::string_view::npos ? input.size() : end + 1;
+    if (m_line.size() + size > maxChunkLine)
+        return ReadProgress::Malformed;
+    m_line.append(input.substr(0, size));
+    input.remove_prefix(size);
+    if (end == std::string_view::npos)
+        return ReadProgress::NeedMore;
+    if (!m_line.ends_with("\r\n"))
+        return ReadProgress::Malformed;
+    m_line.resize(m_line.size() - 2);
+    const auto progress = finishLine();
+    m_line.clear();
+    return progress;
+}
+
+ReadProgress BodyDecoder::finishLine()
+{
+    switch (m_chunkState) {
+    case ChunkState::SizeLine:
+        return startChunk();
+    case ChunkState::DataEnd:
+        m_chunkState = ChunkState::SizeLine;
+        return m_line.empty() ? ReadProgress::NeedMore : ReadProgress::Malformed;
+    case ChunkState::Trailer:
+        // Trailer fields are read past: no field of theirs is passed on.
+        if (m_line.empty())
+            m_chunkState = ChunkState::Done;
+        return ReadProgress::NeedMore;
+    case ChunkState::Data:
+    case ChunkState::Done:
+        break;
+    }
+    return ReadProgress::Malformed;
+}
+
+ReadProgress BodyDecoder::startChunk()
+{
+    const auto size = parseChunkSize(m_line);
+    if (!size)
+        return ReadProgress::Malformed;
+    m_remaining = *size;
+    m_chunkState = m_remaining == 0 ? ChunkState::Trailer : ChunkState::Data;
+    return m_body.size() + m_remaining > m_limit ? ReadProgress::TooLarge : ReadProgress::NeedMore;
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Connection/Loop/CallerSession.cpp
@@ -0,0 +1,216 @@
+#include "Connection/Loop/ConnectionLoop.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/write.hpp>
+
+namespace Sapphireladder {
+
+namespace {
+
+/** Input that is held while a request is served. A caller that sends more waits. */
+constexpr std::size_t maxHeldInput = 64 * kibibyte;
+/** Time for the caller to read the last answer and close. */
+constexpr Duration lingerTime = std::chrono::seconds(1);
+/** Time without an acknowledgement after which the caller is taken as gone. */
+constexpr Duration callerSilenceLimit = std::chrono::seconds(10);
+
+} // namespace
+
+CallerSession::CallerSession(LoopContext &context, TcpSocket socket, RequestHandler &handler,
+                             SessionRegistry &registry)
+    : m_context(context)
+    , m_socket(std::move(socket))
+    , m_timer(context.io)
+    , m_handler(handler)
+    , m_registry(registry)
+{}
+
+void CallerSession::start()
+{
+    boost::system::error_code ec;
+    m_socket.non_blocking(true, ec);
+    setSocketOptions(m_socket, callerSilenceLimit);
+    startTimer(m_handler.limits().idleTimeout);
+    waitForInput();
+}
+
+bool CallerSession::isBusy() const
+{
+    return m_state == State::Serving || m_state == State::Writing
+           || (m_state == State::Reading && m_reader);
+}
+
+void CallerSession::closeIfIdle()
+{
+    if (m_state == State::Reading && !m_reader)
+        linger();
+}
+
+void CallerSession::waitForInput()
+{
+    m_socket.async_wait(TcpSocket::wait_read, [self = shared_from_this()](const auto &ec) {
+        if (self->m_state != State::Closed && !ec)
+            self->receive();
+    });
+}
+
+void CallerSession::receive()
+{
+    boost::system::error_code ec;
+    const auto size = m_socket.read_some(boost::asio::buffer(m_context.receiveBuffer), ec);
+    if (ec && ec != boost::asio::error::would_block) {
+        close();
+        return;
+    }
+    if (m_state != State::Lingering)
+        m_input.append(m_context.receiveBuffer.data(), size);
+    if (m_state == State::Reading)
+        processInput();
+    if (m_state == State::Closed)
+        return;
+    m_isPaused = m_input.size() >= maxHeldInput && m_state != State::Reading;
+    if (!m_isPaused)
+        waitForInput();
+}
+
+void CallerSession::processInput()
+{
+    if (m_input.empty())
+        return;
+    if (!m_reader) {
+        const auto &limits = m_handler.limits();
+        m_reader.emplace(limits.headBytes, limits.bodyBytes);
+        m_arrivedAt = m_context.clock.now();
+        startTimer(limits.headTimeout);
+    }
+    std::string_view input = m_input;
+    const auto progress = m_reader->feed(input);
+    m_input.erase(0, m_input.size() - input.size());
+    if (progress == ReadProgress::Complete) {
+        serve();
+    } else if (progress != ReadProgress::NeedMore) {
+        refuse(m_reader->fault());
+    } else if (m_reader->takeContinueWish()) {
+        static constexpr std::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        boost::system::error_code ec;
+        m_socket.write_some(boost::asio::buffer(interim), ec);
+    } else if (!m_reader->hasStarted()) {
+        m_reader.reset();
+    }
+}
+
+void CallerSession::serve()
+{
+    m_state = State::Serving;
+    m_timer.cancel();
+    auto request = m_reader->takeRequest();
+    m_reader.reset();
+    request.arrivedAt = m_arrivedAt;
+    m_closesAfterAnswer = !request.keepsConnection;
+    m_isHead = request.method == "HEAD";
+    auto pending = m_handler.handle(std::move(request),
+                                    [weak = weak_from_this()](CallerReply reply) {
+                                        if (const auto self = weak.lock())
+                                            self->reply(std::move(reply));
+                                    });
+    if (m_state == State::Serving)
+        m_pending = std::move(pending);
+}
+
+void CallerSession::refuse(RefusalReason reason)
+{
+    m_reader.reset();
+    m_handler.inputRefused(reason);
+    m_closesAfterAnswer = true;
+    m_state = State::Serving;
+    reply({Refusal{reason}, {}});
+}
+
+void CallerSession::reply(CallerReply reply)
+{
+    if (m_state != State::Serving)
+        return;
+    m_pending.reset();
+    m_closesAfterAnswer = m_closesAfterAnswer || m_handler.isStopping();
+    write(encodeOutcome(reply.outcome, {{}, m_isHead, !m_closesAfterAnswer, reply.fields}));
+}
+
+void CallerSession::write(std::string bytes)
+{
+    m_state = State::Writing;
+    m_output = std::move(bytes);
+    startTimer(callerSilenceLimit);
+    boost::asio::async_write(
+            m_socket, boost::asio::buffer(m_output),
+            [self = shared_from_this()](const auto &ec, std::size_t) { self->written(ec); });
+}
+
+void CallerSession::written(const boost::system::error_code &ec)
+{
+    if (m_state != State::Writing)
+        return;
+    m_output = {};
+    if (ec) {
+        close();
+        return;
+    }
+    if (m_closesAfterAnswer) {
+        linger();
+        return;
+    }
+    m_state = State::Reading;
+    startTimer(m_handler.limits().idleTimeout);
+    processInput();
+    if (std::exchange(m_isPaused, false) && m_state != State::Closed)
+        waitForInput();
+}
+
+void CallerSession::linger()
+{
+    m_state = State::Lingering;
+    m_input.clear();
+    boost::system::error_code ec;
+    // The kernel would reset a connection that is closed with unread input, and the reset can
+    // destroy the last answer.
+    m_socket.shutdown(TcpSocket::shutdown_send, ec);
+    startTimer(lingerTime);
+    if (std::exchange(m_isPaused, false))
+        waitForInput();
+}
+
+void CallerSession::startTimer(Duration timeout)
+{
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([weak = weak_from_this()](const auto &ec) {
+        const auto self = weak.lock();
+        // A timer that was set again may still deliver its former end.
+        if (self && !ec && self->m_timer.expiry() <= LoopTimer::clock_type::now())
+            self->timedOut();
+    });
+}
+
+void CallerSession::timedOut()
+{
+    if (m_state == State::Reading && m_reader)
+        refuse(RefusalReason::RequestTimeout);
+    else if (m_state == State::Reading)
+        linger();
+    else if (m_state != State::Serving)
+        close();
+}
+
+void CallerSession::close()
+{
+    if (m_state == State::Closed)
+        return;
+    m_state = State::Closed;
+    boost::system::error_code ec;
+    m_timer.cancel();
+    m_socket.close(ec);
+    if (const auto pending = std::exchange(m_pending, nullptr))
+        pending->cancel();
+    m_registry.sessionEnded(shared_from_this());
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Connection/Loop/HeadBuffer.cpp
@@ -0,0 +1,38 @@
+#include "Connection/Loop/ConnectionLoop.h"
+
+#include <algorithm>
+
+namespace Sapphireladder {
+
+namespace {
+
+constexpr std::string_view lineEnd = "\r\n";
+constexpr std::string_view headEnd = "\r\n\r\n";
+
+} // namespace
+
+ReadProgress HeadBuffer::feed(std::string_view &input)
+{
+    // RFC 9112 lets a reader skip empty lines before a message.
+    while (m_text.empty() && input.starts_with(lineEnd))
+        input.remove_prefix(lineEnd.size());
+    const auto before = m_text.size();
+    m_text.append(input);
+    const auto searchFrom = before < headEnd.size() ? 0 : before - headEnd.size() + 1;
+    const auto end = m_text.find(headEnd, searchFrom);
+    if (std::min(end, m_text.size()) > m_limit)
+        return ReadProgress::TooLarge;
+    const auto size = end == std::string::npos ? m_text.size() : end + headEnd.size();
+    input.remove_prefix(size - before);
+    m_text.resize(size);
+    if (hasBareLineFeed(m_text))
+        return ReadProgress::Malformed;
+    return end == std::string::npos ? ReadProgress::NeedMore : ReadProgress::Complete;
+}
+
+std::string_view HeadBuffer::lines() const
+{
+    return std::string_view(m_text).substr(0, m_text.size() - lineEnd.size());
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Connection/Loop/LoopContext.cpp
@@ -0,0 +1,44 @@
+#include "Connection/Loop/ConnectionLoop.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace Sapphireladder {
+
+std::optional<TcpEndpoint> toTcpEndpoint(const Endpoint &endpoint)
+{
+    boost::system::error_code ec;
+    const auto address = boost::asio::ip::make_address(endpoint.host, ec);
+    if (ec)
+        return std::nullopt;
+    return TcpEndpoint(address, endpoint.port);
+}
+
+void setSocketOptions(TcpSocket &socket, Duration silenceLimit)
+{
+    /** Unanswered probes of an idle connection after which the kernel ends it. */
+    constexpr int keepAliveProbes = 2;
+    const int limitMs = static_cast<int>(toMilliseconds(silenceLimit));
+    const int probeSeconds = std::max(1, limitMs / 1000 / (keepAliveProbes + 1));
+    struct Row
+    {
+        int level;
+        int name;
+        int value;
+    };
+    const Row rows[] = {
+            {IPPROTO_TCP, TCP_NODELAY, 1},
+            {SOL_SOCKET, SO_KEEPALIVE, 1},
+            {IPPROTO_TCP, TCP_KEEPIDLE, probeSeconds},
+            {IPPROTO_TCP, TCP_KEEPINTVL, probeSeconds},
+            {IPPROTO_TCP, TCP_KEEPCNT, keepAliveProbes},
+            {IPPROTO_TCP, TCP_USER_TIMEOUT, limitMs},
+    };
+    // A kernel without one of the options still serves; the loop's own time-outs remain.
+    for (const auto &it : rows)
+        ::setsockopt(socket.native_handle(), it.level, it.name, &it.value, sizeof it.value);
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Connection/Loop/RequestReader.cpp
@@ -0,0 +1,95 @@
+#include "Connection/Loop/ConnectionLoop.h"
+
+#include <Poco/Net/HTTPRequest.h>
+
+#include <algorithm>
+
+namespace Sapphireladder {
+
+namespace {
+
+using Poco::Net::HTTPRequest;
+
+/** Fields that concern one connection only (RFC 9110, 7.6.1), and those that a VM sets itself. */
+constexpr std::string_view connectionFields[] = {
+        "Connection",        "Keep-Alive", "Proxy-Connection", "TE",     "Trailer",
+        "Transfer-Encoding", "Upgrade",    "Content-Length",   "Expect",
+};
+
+BodyEnd bodyEndOf(FramingKind kind)
+{
+    switch (kind) {
+    case FramingKind::Length:
+        return BodyEnd::Length;
+    case FramingKind::Chunked:
+        return BodyEnd::Chunked;
+    case FramingKind::None:
+        break;
+    }
+    return BodyEnd::None;
+}
+
+} // namespace
+
+bool isConnectionField(std::string_view name)
+{
+    return std::any_of(std::begin(connectionFields), std::end(connectionFields),
+                       [name](auto field) { return equalsIgnoringCase(field, name); });
+}
+
+ReadProgress RequestReader::feed(std::string_view &input)
+{
+    if (!m_hasHead) {
+        const auto progress = m_head.feed(input);
+        if (progress == ReadProgress::TooLarge)
+            m_fault = RefusalReason::HeaderTooLarge;
+        if (progress != ReadProgress::Complete)
+            return progress;
+        if (const auto parsed = readHead(); parsed != ReadProgress::Complete)
+            return parsed;
+    }
+    const auto progress = m_body.feed(input);
+    if (progress == ReadProgress::TooLarge)
+        m_fault = RefusalReason::BodyTooLarge;
+    else if (progress == ReadProgress::Malformed)
+        m_fault = RefusalReason::BadFraming;
+    return progress;
+}
+
+ReadProgress RequestReader::readHead()
+{
+    HTTPRequest head;
+    if (!parseRequestHead(m_head.lines(), head))
+        return ReadProgress::Malformed;
+    const auto framing = framingOf(head);
+    if (!framing) {
+        m_fault = RefusalReason::BadFraming;
+        return ReadProgress::Malformed;
+    }
+    m_request.method = head.getMethod();
+    m_request.target = head.getURI();
+    m_request.host = head.get(HTTPRequest::HOST, "");
+    m_request.keepsConnection = Sapphireladder::keepsConnection(head);
+    for (const auto &[name, value] : head) {
+        if (!isConnectionField(name) && !hasToken(head, HTTPRequest::CONNECTION, name))
+            m_request.headers.push_back({name, value});
+    }
+    m_wantsContinue = framing->kind != FramingKind::None
+                      && hasToken(head, "Expect", "100-continue");
+    m_body = BodyDecoder(bodyEndOf(framing->kind), framing->length, m_bodyLimit);
+    m_hasHead = true;
+    return ReadProgress::Complete;
+}
+
+bool RequestReader::takeContinueWish()
+{
+    return std::exchange(m_wantsContinue, false);
+}
+
+CallerRequest RequestReader::takeRequest()
+{
+    m_request.body = m_body.takeBody();
+    return std::move(m_request);
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Connection/Loop/Upstream.cpp
@@ -0,0 +1,156 @@
+#include "Connection/Loop/ConnectionLoop.h"
+
+#include <algorithm>
+
+namespace Sapphireladder {
+
+Upstream::Upstream(LoopContext &context, const ProxyDialect &dialect, UpstreamCounts &counts,
+                   UpstreamSpec spec)
+    : m_context(context)
+    , m_dialect(dialect)
+    , m_counts(counts)
+    , m_spec(std::move(spec))
+    , m_figures(m_spec.slots)
+    , m_tokensAt(context.clock.now())
+{
+    m_tokens = m_askPolicy.perSecond * m_askPolicy.burstSeconds;
+}
+
+Upstream::~Upstream()
+{
+    if (m_askConnection)
+        m_askConnection->close();
+    closeIdle();
+}
+
+void Upstream::refillTokens()
+{
+    const auto now = m_context.clock.now();
+    const double limit = std::max(1.0, m_askPolicy.perSecond * m_askPolicy.burstSeconds);
+    m_tokens = std::min(limit, m_tokens + toSeconds(now - m_tokensAt) * m_askPolicy.perSecond);
+    m_tokensAt = now;
+}
+
+bool Upstream::mayAsk()
+{
+    if (m_askConnection)
+        return true;
+    refillTokens();
+    return m_tokens >= 1.0;
+}
+
+void Upstream::ask(AskHandler handler)
+{
+    m_askHandlers.push_back(std::move(handler));
+    if (!m_askConnection)
+        sendQuestion();
+}
+
+void Upstream::sendQuestion()
+{
+    refillTokens();
+    m_tokens -= 1.0;
+    ++m_counts.asked;
+    m_askConnection = take(Reuse::Any);
+    UpstreamRequest request;
+    request.bytes = encodeQuestion();
+    m_askConnection->exchange(std::move(request), m_askPolicy.timeout,
+                              [weak = weak_from_this()](const AttemptResult &result) {
+                                  if (const auto self = weak.lock())
+                                      self->questionEnded(result);
+                              });
+}
+
+std::string Upstream::encodeQuestion() const
+{
+    return "GET " + m_spec.healthPath + " HTTP/1.1\r\nHost: " + m_spec.endpoint.toString()
+           + "\r\n\r\n";
+}
+
+void Upstream::questionEnded(const AttemptResult &result)
+{
+    const auto now = m_context.clock.now();
+    const auto connection = std::exchange(m_askConnection, nullptr);
+    const auto handlers = std::exchange(m_askHandlers, {});
+    const auto *answered = std::get_if<Answered>(&result.end);
+    bool isAnswered = false;
+    if (answered) {
+        const auto said = m_dialect.targetStatement(answered->answer.status,
+                                                    answered->answer.headers);
+        if (said.target && *said.target != m_spec.id)
+            m_isMisaddressed = true;
+        isAnswered = said.load.has_value() && !m_isMisaddressed;
+        constexpr unsigned ok = 200;
+        if (isAnswered)
+            m_figures.reported(*said.load, answered->answer.status == ok, now);
+        give(connection);
+    }
+    if (!isAnswered) {
+        ++m_counts.askFailures;
+        m_figures.probeFailed(now);
+        dropSilentSince(now - m_askPolicy.timeout);
+    }
+    for (const auto &it : handlers)
+        it(isAnswered);
+}
+
+std::shared_ptr<UpstreamConnection> Upstream::take(Reuse reuse)
+{
+    const auto now = m_context.clock.now();
+    std::erase_if(m_idle, [](const auto &it) { return !it.connection->isReusable(); });
+    for (auto it = m_idle.rbegin(); it != m_idle.rend(); ++it) {
+        if (!isReusable(*it, reuse, now))
+            continue;
+        auto connection = std::move(it->connection);
+        m_idle.erase(std::next(it).base());
+        return connection;
+    }
+    auto connection = std::make_shared<UpstreamConnection>(m_context);
+    ++m_counts.opened;
+    // Opening cannot fail for the address: a record with another one is not accepted.
+    connection->open(toTcpEndpoint(m_spec.endpoint).value_or(TcpEndpoint()),
+                     m_limits.connectTimeout, m_limits.silenceLimit);
+    return connection;
+}
+
+bool Upstream::isReusable(const IdleConnection &idle, Reuse reuse, TimePoint now) const
+{
+    if (reuse == Reuse::None)
+        return false;
+    const auto stated = idle.connection->idleTimeout();
+    // A margin for the way, so that the target does not close just as the request arrives.
+    constexpr Duration margin = std::chrono::milliseconds(500);
+    const auto limit = stated ? std::max(*stated - margin, *stated / 2) : m_limits.idleTimeout;
+    const auto age = now - idle.since;
+    return age < (reuse == Reuse::Recent ? std::min(limit, freshForNonIdempotent) : limit);
+}
+
+void Upstream::give(std::shared_ptr<UpstreamConnection> connection)
+{
+    if (!connection->isReusable())
+        return;
+    m_idle.push_back({std::move(connection), m_context.clock.now()});
+    if (m_idle.size() > m_limits.maxIdle) {
+        m_idle.front().connection->close();
+        m_idle.erase(m_idle.begin());
+    }
+}
+
+void Upstream::dropSilentSince(TimePoint time)
+{
+    std::erase_if(m_idle, [time](const auto &it) {
+        const bool isSuspect = it.since < time;
+        if (isSuspect)
+            it.connection->close();
+        return isSuspect;
+    });
+}
+
+void Upstream::closeIdle()
+{
+    for (const auto &it : m_idle)
+        it.connection->close();
+    m_idle.clear();
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Connection/Loop/UpstreamConnection.cpp
@@ -0,0 +1,220 @@
+#include "Connection/Loop/ConnectionLoop.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+namespace Sapphireladder {
+
+UpstreamConnection::UpstreamConnection(LoopContext &context)
+    : m_context(context)
+    , m_socket(context.io)
+    , m_timer(context.io)
+{}
+
+void UpstreamConnection::open(const TcpEndpoint &endpoint, Duration connectTimeout,
+                              Duration silenceLimit)
+{
+    boost::system::error_code ec;
+    m_socket.open(endpoint.protocol(), ec);
+    if (!ec) {
+        m_socket.non_blocking(true, ec);
+        setSocketOptions(m_socket, silenceLimit);
+    }
+    startTimer(connectTimeout);
+    m_socket.async_connect(endpoint,
+                           [self = shared_from_this()](const auto &error) { self->opened(error); });
+}
+
+void UpstreamConnection::opened(const boost::system::error_code &ec)
+{
+    if (m_state == State::Closed)
+        return;
+    m_timer.cancel();
+    if (ec) {
+        fail({NotRun{RetryReason::ConnectFailed}, {}, false, {}});
+        return;
+    }
+    m_state = State::Idle;
+    waitForInput();
+    if (m_request)
+        sendRequest();
+}
+
+void UpstreamConnection::exchange(UpstreamRequest request, Duration timeout, EndHandler handler)
+{
+    m_request = std::move(request);
+    m_handler = std::move(handler);
+    m_deadline = m_context.clock.now() + timeout;
+    if (m_state == State::Idle)
+        sendRequest();
+}
+
+void UpstreamConnection::sendRequest()
+{
+    m_state = State::Busy;
+    m_isSent = false;
+    m_hadForeignAnswer = false;
+    m_reader.emplace(m_request->isBodyless, m_request->bodyLimit);
+    startTimer(std::max(Duration::zero(), *m_deadline - m_context.clock.now()));
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_request->bytes),
+                             [self = shared_from_this()](const auto &ec, std::size_t size) {
+                                 self->requestSent(ec, size);
+                             });
+}
+
+void UpstreamConnection::requestSent(const boost::system::error_code &ec, std::size_t size)
+{
+    if (m_state != State::Busy)
+        return;
+    m_isSent = !ec;
+    // After a part was taken by the kernel, the reading side tells how the exchange ends.
+    if (ec && size == 0)
+        fail({NotRun{RetryReason::StaleConnection}, {}, false, {}});
+}
+
+void UpstreamConnection::waitForInput()
+{
+    m_socket.async_wait(TcpSocket::wait_read, [self = shared_from_this()](const auto &ec) {
+        if (self->m_state != State::Closed && !ec)
+            self->receive();
+    });
+}
+
+void UpstreamConnection::receive()
+{
+    boost::system::error_code ec;
+    const auto size = m_socket.read_some(boost::asio::buffer(m_context.receiveBuffer), ec);
+    if (ec && ec != boost::asio::error::would_block) {
+        peerEnded(ec);
+        return;
+    }
+    if (size > 0)
+        handleInput({m_context.receiveBuffer.data(), size});
+    if (m_state != State::Closed)
+        waitForInput();
+}
+
+void UpstreamConnection::handleInput(std::string_view input)
+{
+    // Bytes that no request asked for belong to nobody.
+    if (m_state != State::Busy) {
+        close();
+        return;
+    }
+    while (true) {
+        const auto progress = m_reader->feed(input);
+        if (progress == ReadProgress::NeedMore)
+            return;
+        if (progress != ReadProgress::Complete) {
+            const bool isTooLarge = progress == ReadProgress::TooLarge;
+            fail({Unknown{isTooLarge ? UnknownReason::AnswerTooLarge
+                                     : UnknownReason::AnswerFraming},
+                  {},
+                  false,
+                  {}});
+            return;
+        }
+        answerComplete(input);
+        if (!m_hadForeignAnswer || m_state != State::Busy || input.empty())
+            return;
+    }
+}
+
+void UpstreamConnection::answerComplete(std::string_view rest)
+{
+    const bool keeps = m_reader->keepsConnection();
+    m_idleTimeout = m_reader->idleTimeout();
+    auto answer = m_reader->takeAnswer();
+    if (m_request->isOwnAnswer && !m_request->isOwnAnswer(answer)) {
+        // A late answer to an earlier request. The own one may still follow.
+        m_hadForeignAnswer = true;
+        m_reader.emplace(m_request->isBodyless, m_request->bodyLimit);
+        if (!keeps)
+            fail({Unknown{UnknownReason::AnswerMismatch}, {}, false, {}});
+        return;
+    }
+    m_lastAnswerAt = m_context.clock.now();
+    const bool isClean = keeps && m_isSent && !m_hadForeignAnswer && rest.empty();
+    m_hadForeignAnswer = false;
+    if (isClean) {
+        m_state = State::Idle;
+        m_timer.cancel();
+    } else {
+        shutDown();
+    }
+    finish({Answered{std::move(answer)}, {}, false, {}});
+}
+
+void UpstreamConnection::peerEnded(const boost::system::error_code &ec)
+{
+    if (m_state != State::Busy) {
+        close();
+        return;
+    }
+    const bool isOrderly = ec == boost::asio::error::eof;
+    if (isOrderly && m_reader->completesByClose()) {
+        answerComplete({});
+        if (m_state == State::Closed)
+            return;
+    }
+    const bool hasStarted = m_reader->hasStarted();
+    fail({Unknown{hasStarted ? UnknownReason::AnswerCut : UnknownReason::ConnectionReset},
+          {},
+          false,
+          {}});
+}
+
+void UpstreamConnection::startTimer(Duration timeout)
+{
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([weak = weak_from_this()](const auto &ec) {
+        const auto self = weak.lock();
+        // A timer that was set again may still deliver its former end.
+        if (self && !ec && self->m_timer.expiry() <= LoopTimer::clock_type::now())
+            self->timedOut();
+    });
+}
+
+void UpstreamConnection::timedOut()
+{
+    if (m_state == State::Connecting)
+        fail({NotRun{RetryReason::ConnectFailed}, {}, false, {}});
+    else if (m_state == State::Busy)
+        fail({Unknown{UnknownReason::AnswerTimeout}, {}, false, {}});
+}
+
+void UpstreamConnection::fail(AttemptResult result)
+{
+    shutDown();
+    finish(std::move(result));
+}
+
+void UpstreamConnection::finish(AttemptResult result)
+{
+    m_request.reset();
+    m_reader.reset();
+    const auto handler = std::exchange(m_handler, nullptr);
+    if (handler)
+        handler(std::move(result));
+}
+
+void UpstreamConnection::close()
+{
+    shutDown();
+    m_handler = nullptr;
+}
+
+void UpstreamConnection::shutDown()
+{
+    if (m_state == State::Closed)
+        return;
+    m_state = State::Closed;
+    boost::system::error_code ec;
+    m_timer.cancel();
+    m_socket.close(ec);
+}
+
+} // namespace Sapphireladder
--- a/Source/Core/Core.h
+++ b/Source/Core/Core.h
@@ -10,5 +10,6 @@
 #include "Core/Parse.h"
 #include "Core/RandomSource.h"
 #include "Core/Result.h"
+#include "Core/Text.h"
 #include "Core/Time.h"
 #include "Core/Units.h"
--- a/Source/Core/Identifier.h
+++ b/Source/Core/Identifier.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <cstdint>
 #include <functional>
 #include <ostream>
 #include <string>
@@ -57,6 +58,9 @@
 /** Hexadecimal 128-bit digest of a preset's text. */
 using ContentDigest = Identifier<struct ContentDigestTag>;
 
+/** Number of a target's life. Each restart has a higher one; 0 is a life of unknown number. */
+using Incarnation = std::uint64_t;
+
 } // namespace Sapphireladder
 
 template<typename Tag>
--- /dev/null
+++ b/Source/Core/Text.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace Sapphireladder {
+
+/** @return the text with ASCII letters in lower case. */
+std::string toLowerCase(std::string_view text);
+
+/** @return whether the texts are equal but for the case of ASCII letters. */
+bool equalsIgnoringCase(std::string_view a, std::string_view b);
+
+} // namespace Sapphireladder
--- a/Source/Core/Time.h
+++ b/Source/Core/Time.h
@@ -46,6 +46,16 @@
     TimePoint now() const override { return std::chrono::steady_clock::now(); }
 };
 
+/**
+ * A monotonic clock that goes on while the machine is suspended, so that a request that was held
+ * meanwhile is not taken for a young one.
+ */
+class BootClock final : public Clock
+{
+public:
+    TimePoint now() const override;
+};
+
 /** A clock that stands still until it is advanced. Not safe for use by several threads. */
 class ManualClock final : public Clock
 {
--- a/Source/Main/CommandLine.cpp
+++ b/Source/Main/CommandLine.cpp
@@ -2,15 +2,19 @@
 
 #include "Main/AdminClient.h"
 #include "Main/Arguments.h"
+#include "Main/GatewayProcess.h"
 #include "Main/VmProcess.h"
 #include "Process/Yaml/ProcessYaml.h"
 
 #include <nlohmann/json.hpp>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <optional>
 
+#include <unistd.h>
+
 namespace Sapphireladder {
 
 namespace {
@@ -29,6 +33,21 @@
     return settings;
 }
 
+/** @param faultLog receives each fault */
+std::optional<GatewaySettings> loadGatewaySettings(const std::string &file, std::ostream &faultLog)
+{
+    YamlFaults faults(file);
+    const auto text = readTextFile(file);
+    if (!text) {
+        faultLog << text.error().toString() << '\n';
+        return std::nullopt;
+    }
+    auto settings = readGatewaySettings(text.value(), faults);
+    for (const auto &it : faults.list())
+        faultLog << it.toString() << '\n';
+    return settings;
+}
+
 bool checkPresetFile(const std::string &file)
 {
     YamlFaults faults(file);
@@ -111,6 +130,7 @@
 
 const CommandLine::CommandRow CommandLine::commands[] = {
         {"serve", &CommandLine::serve, "run a VM's process"},
+        {"gateway", &CommandLine::gateway, "run a VM's process on an operator's platform"},
         {"check", &CommandLine::check, "check settings and preset files"},
         {"preset", &CommandLine::preset, "list, show, store and switch presets"},
         {"status", &CommandLine::status, "print a VM's status"},
@@ -168,6 +188,34 @@
     return ExitCode::Success;
 }
 
+ExitCode CommandLine::gateway(Words words)
+{
+    cxxopts::Options options("sapphireladder gateway", "Runs a VM's process until SIGTERM.");
+    options.add_options()("settings",
+                          "settings file; by default the one that the variable "
+                          "SAPPHIRELADDER_SETTINGS names",
+                          cxxopts::value<std::string>());
+    const auto arguments = Arguments::parse(std::move(options), words);
+    if (!arguments)
+        return arguments.error();
+    auto file = arguments.value().text("settings");
+    const char *variable = std::getenv("SAPPHIRELADDER_SETTINGS");
+    if (file.empty() && variable)
+        file = variable;
+    const auto settings = loadGatewaySettings(file, std::cerr);
+    if (!settings)
+        return ExitCode::Usage;
+    const SteadyClock clock;
+    StructuredLog log(STDOUT_FILENO, {}, clock);
+    GatewayProcess process(
+            *settings, [file] { return loadGatewaySettings(file, std::cerr); }, log);
+    if (const auto ended = process.run(); !ended) {
+        std::cerr << ended.error().toString() << '\n';
+        return ExitCode::Unavailable;
+    }
+    return ExitCode::Success;
+}
+
 ExitCode CommandLine::check(Words words)
 {
     cxxopts::Options options("sapphireladder check", "Checks files and prints each fault.");
--- a/Source/Main/CommandLine.h
+++ b/Source/Main/CommandLine.h
@@ -30,6 +30,7 @@
     ExitCode dispatch(std::span<const CommandRow> rows, std::string_view program, Words words);
 
     ExitCode serve(Words words);
+    ExitCode gateway(Words words);
     ExitCode check(Words words);
     ExitCode status(Words words);
     ExitCode preset(Words words);
--- /dev/null
+++ b/Source/Main/GatewayProcess.cpp
@@ -0,0 +1,185 @@
+#include "Main/GatewayProcess.h"
+
+#include "platform/Platform.h"
+
+#include <boost/asio/post.hpp>
+
+#include <csignal>
+
+namespace Sapphireladder {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Time for lines to gather before they are written. */
+constexpr Duration flushDelay = 200ms;
+/** Time between two looks at the settings file, which may change without a signal. */
+constexpr Duration settingsInterval = 5s;
+/**
+ * Time between the signal to stop and the end of new connections. The platform asks for readiness
+ * each second and takes a VM out after two misses.
+ */
+constexpr Duration lameduckTime = 2700ms;
+/** Time between two looks whether the last request has ended. */
+constexpr Duration idleCheckInterval = 50ms;
+/** Part of the grace that is left unused, so that the process ends by itself. */
+constexpr Duration graceMargin = 400ms;
+
+} // namespace
+
+GatewayProcess::GatewayProcess(const GatewaySettings &settings, SettingsSource source,
+                               StructuredLog &log)
+    : m_settings(settings)
+    , m_source(std::move(source))
+    , m_log(log)
+    , m_trafficWork(boost::asio::make_work_guard(m_trafficIo))
+    , m_controlContext{m_controlIo, m_clock}
+    , m_dialect(Platform::createDialect())
+    , m_gateway(m_trafficIo, m_clock, *m_dialect, log, settings)
+    , m_control(m_gateway, log, m_clock)
+    , m_connector(Platform::createConnector(m_controlContext, settings, m_control))
+    , m_signals(m_controlIo, SIGTERM, SIGINT, SIGHUP)
+    , m_flushTimer(m_controlIo)
+    , m_settingsTimer(m_controlIo)
+    , m_tickTimer(m_controlIo)
+    , m_stopTimer(m_controlIo)
+{}
+
+GatewayProcess::~GatewayProcess()
+{
+    m_log.setPendingHandler({});
+    m_trafficIo.stop();
+    if (m_traffic.joinable())
+        m_traffic.join();
+}
+
+Result<> GatewayProcess::run()
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    m_log.setPendingHandler(
+            [this] { boost::asio::post(m_controlIo, [this] { scheduleFlush(); }); });
+    TRY(m_gateway.listen());
+    m_log.record(EventId::ProcessStarted, {{"vm", m_settings.vm.string()},
+                                           {"zone", m_settings.zone.string()},
+                                           {"callers", m_settings.callerEndpoint.toString()},
+                                           {"store", m_settings.platformEndpoint.toString()}});
+    awaitSignal();
+    pollSettings();
+    m_connector->start();
+    m_traffic = std::thread([this] { m_trafficIo.run(); });
+    m_controlIo.run();
+    return success();
+}
+
+template<typename Handler>
+void GatewayProcess::runAfter(LoopTimer &timer, Duration delay, Handler handler)
+{
+    timer.expires_after(delay);
+    timer.async_wait([handler](const auto &ec) {
+        if (!ec)
+            handler();
+    });
+}
+
+void GatewayProcess::awaitSignal()
+{
+    m_signals.async_wait([this](const auto &ec, int number) {
+        if (ec)
+            return;
+        if (number == SIGHUP)
+            reloadSettings("signal");
+        else if (!m_isStopping)
+            beginStop();
+        awaitSignal();
+    });
+}
+
+void GatewayProcess::pollSettings()
+{
+    runAfter(m_settingsTimer, settingsInterval, [this] {
+        reloadSettings("changed");
+        pollSettings();
+    });
+}
+
+void GatewayProcess::reloadSettings(std::string_view why)
+{
+    const auto settings = m_source();
+    if (!settings) {
+        m_log.record(EventId::SettingsRejected, {{"why", std::string(why)}});
+        return;
+    }
+    const bool isChanged = *settings != m_settings;
+    if (why == "signal" || isChanged)
+        m_log.record(EventId::SettingsReloaded,
+                     {{"why", std::string(why)}, {"changed", isChanged ? "yes" : "no"}});
+    if (!isChanged)
+        return;
+    m_settings = *settings;
+    m_gateway.reconfigure(*settings);
+}
+
+void GatewayProcess::scheduleFlush()
+{
+    runAfter(m_flushTimer, flushDelay, [this] {
+        if (!m_log.flush())
+            scheduleFlush();
+        tickControl();
+    });
+}
+
+void GatewayProcess::tickControl()
+{
+    const auto next = m_control.tick();
+    if (next)
+        runAfter(m_tickTimer, std::max(Duration::zero(), *next - m_clock.now()),
+                 [this] { tickControl(); });
+}
+
+void GatewayProcess::beginStop()
+{
+    m_isStopping = true;
+    m_stopAt = m_clock.now() + m_settings.stopGrace - graceMargin;
+    m_log.record(EventId::ShutdownStep, {{"step", "readiness-off"}});
+    boost::asio::post(m_trafficIo, [this] { m_gateway.beginStop(); });
+    runAfter(m_stopTimer, std::min(lameduckTime, m_settings.stopGrace / 2),
+             [this] { closeIdleSessions(); });
+}
+
+void GatewayProcess::closeIdleSessions()
+{
+    m_log.record(EventId::ShutdownStep, {{"step", "no-new-connections"}});
+    boost::asio::post(m_trafficIo, [this] { m_gateway.closeIdleSessions(); });
+    awaitIdle();
+}
+
+void GatewayProcess::awaitIdle()
+{
+    runAfter(m_stopTimer, idleCheckInterval, [this] {
+        boost::asio::post(m_trafficIo, [this] {
+            const bool isIdle = m_gateway.isIdle();
+            boost::asio::post(m_controlIo, [this, isIdle] {
+                if (isIdle)
+                    finish("idle");
+                else if (m_clock.now() >= m_stopAt)
+                    finish("grace-over");
+                else
+                    awaitIdle();
+            });
+        });
+    });
+}
+
+void GatewayProcess::finish(std::string_view why)
+{
+    m_log.record(EventId::ProcessStopped, {{"why", std::string(why)}});
+    m_connector->stop();
+    boost::asio::post(m_trafficIo, [this] {
+        m_gateway.closeAll();
+        m_trafficIo.stop();
+    });
+    m_controlIo.stop();
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Main/GatewayProcess.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "Process/Io/ProcessIo.h"
+#include "Process/Loop/ProcessLoop.h"
+#include "Process/Process.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <thread>
+
+namespace Sapphireladder {
+
+/** One VM of a platform: the control thread, the traffic thread and what they share. */
+class GatewayProcess
+{
+public:
+    /** Reads the settings again. @return nothing if they are not valid. */
+    using SettingsSource = std::function<std::optional<GatewaySettings>()>;
+
+    GatewayProcess(const GatewaySettings &settings, SettingsSource source, StructuredLog &log);
+    ~GatewayProcess();
+
+    /**
+     * Serves until a signal to stop, on the calling thread as control thread.
+     * @return ConnectionError::ListenFailed if an address cannot be used.
+     */
+    Result<> run();
+
+private:
+    void awaitSignal();
+    void reloadSettings(std::string_view why);
+    void pollSettings();
+    void scheduleFlush();
+    void tickControl();
+    void beginStop();
+    void closeIdleSessions();
+    void awaitIdle();
+    void finish(std::string_view why);
+    template<typename Handler>
+    void runAfter(LoopTimer &timer, Duration delay, Handler handler);
+
+    GatewaySettings m_settings;
+    SettingsSource m_source;
+    StructuredLog &m_log;
+    BootClock m_clock;
+    boost::asio::io_context m_trafficIo{1};
+    boost::asio::io_context m_controlIo{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_trafficWork;
+    LoopContext m_controlContext;
+    std::unique_ptr<ProxyDialect> m_dialect;
+    Gateway m_gateway;
+    GatewayControl m_control;
+    std::unique_ptr<PlatformConnector> m_connector;
+    boost::asio::signal_set m_signals;
+    LoopTimer m_flushTimer;
+    LoopTimer m_settingsTimer;
+    LoopTimer m_tickTimer;
+    LoopTimer m_stopTimer;
+    TimePoint m_stopAt{};
+    bool m_isStopping = false;
+    std::thread m_traffic;
+};
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/GatewayControl.cpp
@@ -0,0 +1,157 @@
+#include "Process/Process.h"
+
+namespace Sapphireladder {
+
+namespace {
+
+constexpr std::string_view dependencyNames[] = {"route-source", "target-registry", "fleet-list"};
+
+std::string age(std::optional<TimePoint> since, TimePoint now)
+{
+    return since ? std::to_string(toMilliseconds(now - *since)) : "0";
+}
+
+} // namespace
+
+std::string_view nameOf(Dependency dependency)
+{
+    return dependencyNames[static_cast<std::size_t>(dependency)];
+}
+
+GatewayControl::GatewayControl(SnapshotSink &sink, EventSink &events, const Clock &clock)
+    : m_sink(sink)
+    , m_events(events)
+    , m_clock(clock)
+{}
+
+void GatewayControl::routesReceived(RouteTableContent content)
+{
+    const auto version = content.version;
+    const auto current = m_routes ? m_routes->version() : 0;
+    if (m_routes && version <= current) {
+        if (version == current)
+            return;
+        ++m_counts.routesOlder;
+        m_events.record(EventId::PresetOlderIgnored, {{"version", std::to_string(version)},
+                                                      {"in_force", std::to_string(current)}});
+        return;
+    }
+    auto table = RouteTable::create(std::move(content));
+    if (!table) {
+        routesRejected(table.error());
+        return;
+    }
+    m_routes = std::move(table.value());
+    ++m_counts.routesApplied;
+    m_events.record(EventId::PresetApplied,
+                    {{"version", std::to_string(version)}, {"previous", std::to_string(current)}});
+    m_isDirty = true;
+}
+
+void GatewayControl::routesRejected(const Error &error)
+{
+    ++m_counts.routesRejected;
+    m_events.record(EventId::PresetBodyInvalid,
+                    {{"why", error.toString()},
+                     {"in_force", std::to_string(m_routes ? m_routes->version() : 0)}});
+}
+
+void GatewayControl::targetsReceived(std::span<const TargetRecord> records)
+{
+    m_directory.replaceAll(records, m_clock.now());
+    m_knowsTargets = true;
+    m_events.record(EventId::TargetsRead, {{"targets", std::to_string(m_directory.size())}});
+    m_isDirty = true;
+}
+
+void GatewayControl::targetChanged(const TargetRecord &record)
+{
+    m_directory.put(record);
+    logTarget(record.isDraining ? EventId::TargetLeaving : EventId::TargetRegistered, record);
+    m_isDirty = true;
+}
+
+void GatewayControl::targetRemoved(const TargetId &id)
+{
+    m_directory.remove(id, m_clock.now());
+    m_events.record(EventId::TargetRemoved, {{"target", id.string()}});
+    m_isDirty = true;
+}
+
+void GatewayControl::targetRejected(const TargetId &id, const Error &error)
+{
+    ++m_counts.targetsRejected;
+    m_directory.discard(id);
+    m_events.record(EventId::TargetRecordInvalid,
+                    {{"target", id.string()}, {"why", error.toString()}});
+    m_isDirty = true;
+}
+
+void GatewayControl::changesComplete()
+{
+    if (m_isDirty)
+        publish();
+}
+
+void GatewayControl::fleetCounted(unsigned vms)
+{
+    if (vms == 0 || vms == m_fleetSize)
+        return;
+    m_events.record(EventId::FleetCounted,
+                    {{"vms", std::to_string(vms)}, {"previous", std::to_string(m_fleetSize)}});
+    m_fleetSize = vms;
+    m_isDirty = true;
+}
+
+void GatewayControl::dependencyFailed(Dependency dependency, const Error &error)
+{
+    auto &state = m_dependencies[static_cast<std::size_t>(dependency)];
+    if (state.isLost)
+        return;
+    state = {true, m_clock.now()};
+    ++m_counts.dependenciesLost;
+    m_events.record(EventId::DependencyLost,
+                    {{"dependency", std::string(nameOf(dependency))}, {"why", error.toString()}});
+}
+
+void GatewayControl::dependencyAnswered(Dependency dependency)
+{
+    auto &state = m_dependencies[static_cast<std::size_t>(dependency)];
+    if (!state.isLost)
+        return;
+    const auto now = m_clock.now();
+    if (dependency == Dependency::TargetRegistry)
+        m_directory.registryReturned(now);
+    m_events.record(EventId::DependencyRegained, {{"dependency", std::string(nameOf(dependency))},
+                                                  {"away_ms", age(state.lostAt, now)}});
+    state = {};
+}
+
+std::optional<TimePoint> GatewayControl::tick()
+{
+    m_isDirty = m_directory.expire(m_clock.now()) || m_isDirty;
+    changesComplete();
+    return m_directory.nextExpiry();
+}
+
+void GatewayControl::publish()
+{
+    m_isDirty = false;
+    auto snapshot = std::make_shared<GatewaySnapshot>();
+    snapshot->routes = m_routes;
+    snapshot->targets = m_directory.records();
+    snapshot->fleetSize = m_fleetSize;
+    snapshot->knowsTargets = m_knowsTargets;
+    m_sink.publish(std::move(snapshot));
+}
+
+void GatewayControl::logTarget(EventId event, const TargetRecord &record)
+{
+    m_events.record(event, {{"target", record.id.string()},
+                            {"service", record.service.string()},
+                            {"address", record.endpoint.toString()},
+                            {"incarnation", std::to_string(record.incarnation)},
+                            {"warmup_ms", std::to_string(toMilliseconds(record.warmupLeft))}});
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/GatewayControl.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Process/GatewaySnapshot.h"
+#include "Process/PlatformFeed.h"
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Sapphireladder {
+
+/** Numbers that a VM reports of its control state. */
+struct ControlCounts
+{
+    std::uint64_t routesApplied = 0;
+    std::uint64_t routesOlder = 0;
+    std::uint64_t routesRejected = 0;
+    std::uint64_t targetsRejected = 0;
+    std::uint64_t dependenciesLost = 0;
+};
+
+/**
+ * The control state of a VM: the routes in force, the registered targets and the state of the
+ * dependencies. Used by the control thread only; does no I/O.
+ */
+class GatewayControl final : public PlatformFeed
+{
+public:
+    /** Fleet size assumed before the list of VMs was read. Large, so that budgets stay low. */
+    static constexpr unsigned assumedFleetSize = 32;
+
+    /** The references outlive the object. */
+    GatewayControl(SnapshotSink &sink, EventSink &events, const Clock &clock);
+
+    void routesReceived(RouteTableContent content) override;
+    void routesRejected(const Error &error) override;
+    void targetsReceived(std::span<const TargetRecord> records) override;
+    void targetChanged(const TargetRecord &record) override;
+    void targetRemoved(const TargetId &id) override;
+    void targetRejected(const TargetId &id, const Error &error) override;
+    void changesComplete() override;
+    void fleetCounted(unsigned vms) override;
+    void dependencyFailed(Dependency dependency, const Error &error) override;
+    void dependencyAnswered(Dependency dependency) override;
+
+    /** Carries out what is due. @return when to call again, or nothing. */
+    std::optional<TimePoint> tick();
+
+    const ControlCounts &counts() const { return m_counts; }
+
+private:
+    struct DependencyState
+    {
+        bool isLost = false;
+        std::optional<TimePoint> lostAt;
+    };
+
+    void publish();
+    void logTarget(EventId event, const TargetRecord &record);
+
+    SnapshotSink &m_sink;
+    EventSink &m_events;
+    const Clock &m_clock;
+    std::shared_ptr<const RouteTable> m_routes;
+    TargetDirectory m_directory;
+    std::array<DependencyState, static_cast<std::size_t>(Dependency::Count)> m_dependencies;
+    unsigned m_fleetSize = assumedFleetSize;
+    bool m_knowsTargets = false;
+    /** Something changed since the last snapshot. */
+    bool m_isDirty = false;
+    ControlCounts m_counts;
+};
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Io/EventText.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "Core/Core.h"
+
+#include <span>
+#include <string>
+
+namespace Sapphireladder {
+
+/** @return the event as one line "E210 preset-switch-accepted key=value ...", without its end. */
+std::string formatEvent(EventId id, std::span<const EventField> fields);
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Io/StructuredLog.cpp
@@ -0,0 +1,113 @@
+#include "Process/Io/ProcessIo.h"
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+
+#include <poll.h>
+#include <unistd.h>
+
+namespace Sapphireladder {
+
+namespace {
+
+constexpr std::string_view severityNames[] = {"info", "warning", "error"};
+/** A pipe that polls writable takes this much without blocking (POSIX PIPE_BUF). */
+constexpr std::size_t atomicWrite = 4096;
+
+std::int64_t wallMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
+bool isWritable(int fd)
+{
+    pollfd entry{fd, POLLOUT, 0};
+    return ::poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
+}
+
+} // namespace
+
+StructuredLog::StructuredLog(int fd, LogLimits limits, const Clock &clock)
+    : m_fd(fd)
+    , m_limits(limits)
+    , m_clock(clock)
+    , m_tokens(limits.burst)
+    , m_tokensAt(clock.now())
+{}
+
+void StructuredLog::setPendingHandler(std::function<void()> handler)
+{
+    const std::lock_guard lock(m_mutex);
+    m_pendingHandler = std::move(handler);
+}
+
+void StructuredLog::record(EventId id, std::span<const EventField> fields)
+{
+    const auto line = formatEvent(id, fields);
+    const std::lock_guard lock(m_mutex);
+    const bool wasEmpty = m_buffer.empty();
+    if (!takeToken() || m_buffer.size() + line.size() > m_limits.bufferSize) {
+        ++m_dropped;
+        return;
+    }
+    append(line, describeEvent(id).severity);
+    if (wasEmpty && m_pendingHandler)
+        m_pendingHandler();
+}
+
+bool StructuredLog::takeToken()
+{
+    const auto now = m_clock.now();
+    m_tokens = std::min(m_limits.burst,
+                        m_tokens + toSeconds(now - m_tokensAt) * m_limits.linesPerSecond);
+    m_tokensAt = now;
+    if (m_tokens < 1.0)
+        return false;
+    m_tokens -= 1.0;
+    return true;
+}
+
+void StructuredLog::append(std::string_view line, Severity severity)
+{
+    m_buffer.append("time=").append(std::to_string(wallMilliseconds())).append(" level=");
+    m_buffer.append(severityNames[static_cast<std::size_t>(severity)]).append(" ");
+    m_buffer.append(line).append("\n");
+}
+
+void StructuredLog::noteDropped()
+{
+    if (m_dropped == m_droppedTold)
+        return;
+    const EventField fields[] = {{"lines", std::to_string(m_dropped - m_droppedTold)},
+                                 {"total", std::to_string(m_dropped)}};
+    append(formatEvent(EventId::LogLinesDropped, fields), Severity::Warning);
+    m_droppedTold = m_dropped;
+}
+
+bool StructuredLog::flush()
+{
+    const std::lock_guard lock(m_mutex);
+    noteDropped();
+    std::size_t written = 0;
+    while (written < m_buffer.size() && isWritable(m_fd)) {
+        const auto size = std::min(atomicWrite, m_buffer.size() - written);
+        const auto n = ::write(m_fd, m_buffer.data() + written, size);
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n <= 0)
+            break;
+        written += static_cast<std::size_t>(n);
+    }
+    m_buffer.erase(0, written);
+    return m_buffer.empty();
+}
+
+std::uint64_t StructuredLog::droppedLines()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_dropped;
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Loop/ConnectionListener.cpp
@@ -0,0 +1,71 @@
+#include "Process/Loop/ProcessLoop.h"
+
+namespace Sapphireladder {
+
+namespace {
+
+/** Connections that the kernel holds until they are accepted. A full queue costs callers seconds.
+ */
+constexpr int backlog = 1024;
+/** Wait after a failure to accept, which descriptors that are used up would repeat at once. */
+constexpr Duration acceptPause = std::chrono::milliseconds(50);
+
+} // namespace
+
+ConnectionListener::ConnectionListener(LoopContext &context, AcceptHandler handler)
+    : m_context(context)
+    , m_handler(std::move(handler))
+    , m_acceptor(context.io)
+    , m_timer(context.io)
+{}
+
+Result<> ConnectionListener::listen(const Endpoint &endpoint)
+{
+    const auto address = toTcpEndpoint(endpoint);
+    if (!address)
+        return makeError(ConnectionError::ListenFailed, endpoint.toString());
+    boost::system::error_code ec;
+    m_acceptor.open(address->protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(*address, ec);
+    if (!ec)
+        m_acceptor.listen(backlog, ec);
+    if (ec)
+        return makeError(ConnectionError::ListenFailed, endpoint.toString() + ": " + ec.message());
+    acceptNext();
+    return success();
+}
+
+void ConnectionListener::acceptNext()
+{
+    m_acceptor.async_accept(m_context.io, [this](const auto &ec, TcpSocket socket) {
+        if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open())
+            return;
+        if (ec) {
+            pause();
+            return;
+        }
+        m_handler(std::move(socket));
+        acceptNext();
+    });
+}
+
+void ConnectionListener::pause()
+{
+    m_timer.expires_after(acceptPause);
+    m_timer.async_wait([this](const auto &ec) {
+        if (!ec && m_acceptor.is_open())
+            acceptNext();
+    });
+}
+
+void ConnectionListener::close()
+{
+    boost::system::error_code ec;
+    m_timer.cancel();
+    m_acceptor.close(ec);
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Loop/Gateway.cpp
@@ -0,0 +1,266 @@
+#include "Process/Loop/ProcessLoop.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <sstream>
+
+namespace Sapphireladder {
+
+namespace {
+
+/** Share of the allowed questions that is used; the rest covers a fleet that grows meanwhile. */
+constexpr double usedAskShare = 0.85;
+/** Part of the latency objective that a route's work is taken to need before any was measured. */
+constexpr double assumedWorkShare = 0.4;
+/** Weight of a new measurement in the estimate of a route's work. */
+constexpr double workWeight = 0.05;
+
+} // namespace
+
+Gateway::Gateway(boost::asio::io_context &io, const Clock &clock, const ProxyDialect &dialect,
+                 EventSink &events, GatewaySettings settings)
+    : m_context{io, clock}
+    , m_dialect(dialect)
+    , m_events(events)
+    , m_settings(std::move(settings))
+    , m_random(RandomSource::fromSystem())
+    , m_snapshot(std::make_shared<GatewaySnapshot>())
+    , m_readyHandler({{"/ready", [this] { return readiness(); }}})
+    , m_metricsHandler({{"/metrics", [this] { return textAnswer(metricsText()); }}})
+    , m_callerListener(m_context, [this](TcpSocket socket) { accept(std::move(socket), *this); })
+    , m_readyListener(m_context,
+                      [this](TcpSocket socket) { accept(std::move(socket), m_readyHandler); })
+    , m_metricsListener(m_context,
+                        [this](TcpSocket socket) { accept(std::move(socket), m_metricsHandler); })
+{}
+
+Gateway::~Gateway() = default;
+
+Result<> Gateway::listen()
+{
+    TRY(m_callerListener.listen(m_settings.callerEndpoint));
+    TRY(m_readyListener.listen(m_settings.readyEndpoint));
+    return m_metricsListener.listen(m_settings.metricsEndpoint);
+}
+
+void Gateway::publish(std::shared_ptr<const GatewaySnapshot> snapshot)
+{
+    boost::asio::post(m_context.io, [this, snapshot = std::move(snapshot)]() mutable {
+        apply(std::move(snapshot));
+    });
+}
+
+void Gateway::reconfigure(const GatewaySettings &settings)
+{
+    boost::asio::post(m_context.io, [this, settings] {
+        m_settings.repeatRatio = settings.repeatRatio;
+        m_settings.repeatSlack = settings.repeatSlack;
+        m_settings.repeatWindow = settings.repeatWindow;
+        m_settings.asksPerTarget = settings.asksPerTarget;
+        apply(m_snapshot);
+    });
+}
+
+void Gateway::apply(std::shared_ptr<const GatewaySnapshot> snapshot)
+{
+    const bool wasReady = std::holds_alternative<Answer>(readiness());
+    m_snapshot = std::move(snapshot);
+    std::map<TargetId, UpstreamEntry> entries;
+    m_services.clear();
+    for (const auto &it : m_snapshot->targets) {
+        const auto *service = m_snapshot->routes
+                                      ? m_snapshot->routes->findService(it.service.view())
+                                      : nullptr;
+        if (!service)
+            continue;
+        auto known = m_entries.extract(it.id);
+        auto entry = known && isSameLife(known.mapped(), it, service->healthPath)
+                             ? std::move(known.mapped())
+                             : makeEntry(it, service->healthPath);
+        update(entry, it);
+        m_services[it.service].push_back(entry.upstream);
+        entries.emplace(it.id, std::move(entry));
+    }
+    for (const auto &[id, entry] : m_entries)
+        entry.upstream->closeIdle();
+    m_entries = std::move(entries);
+    for (auto &[name, budget] : m_budgets)
+        budget.setPolicy(repeatPolicy());
+    if (!wasReady && std::holds_alternative<Answer>(readiness()))
+        m_events.record(EventId::ProcessReady,
+                        {{"version", std::to_string(m_snapshot->routes->version())},
+                         {"targets", std::to_string(m_entries.size())}});
+}
+
+Gateway::UpstreamEntry Gateway::makeEntry(const TargetRecord &record, std::string_view healthPath)
+{
+    UpstreamSpec spec{record.id, record.endpoint, record.slots, record.zone == m_settings.zone,
+                      std::string(healthPath)};
+    return {record,
+            std::make_shared<Upstream>(m_context, m_dialect, m_upstreamCounts, std::move(spec))};
+}
+
+bool Gateway::isSameLife(const UpstreamEntry &entry, const TargetRecord &record,
+                         std::string_view healthPath) const
+{
+    return entry.record.endpoint == record.endpoint
+           && entry.record.incarnation == record.incarnation
+           && entry.record.service == record.service
+           && entry.upstream->spec().healthPath == healthPath;
+}
+
+void Gateway::update(UpstreamEntry &entry, const TargetRecord &record)
+{
+    const bool isNew = entry.record.warmupLeft != record.warmupLeft
+                       || entry.upstream->figures().inFlight() == 0;
+    entry.record = record;
+    auto &figures = entry.upstream->figures();
+    figures.setSlots(record.slots);
+    if (isNew && record.warmupLeft > Duration::zero())
+        figures.setWarmUntil(m_context.clock.now() + record.warmupLeft);
+    entry.upstream->setDraining(record.isDraining);
+    AskPolicy policy;
+    policy.perSecond = m_settings.asksPerTarget * usedAskShare / m_snapshot->fleetSize;
+    entry.upstream->setAskPolicy(policy);
+}
+
+RepeatPolicy Gateway::repeatPolicy() const
+{
+    return {m_settings.repeatRatio, m_settings.repeatWindow, m_settings.repeatSlack,
+            m_snapshot->fleetSize};
+}
+
+RequestOutcome Gateway::readiness() const
+{
+    if (m_isStopping)
+        return Refusal{RefusalReason::Stopping};
+    if (!m_snapshot->routes || !m_snapshot->knowsTargets)
+        return Refusal{RefusalReason::NoPreset};
+    return textAnswer("ready\n");
+}
+
+std::span<const std::shared_ptr<Upstream>> Gateway::upstreams(const ServiceName &service)
+{
+    return m_services[service];
+}
+
+RetryTokens &Gateway::retryTokens(const ServiceName &service)
+{
+    return m_budgets.try_emplace(service, repeatPolicy(), m_context.clock).first->second;
+}
+
+SplitChooser &Gateway::splitOf(const Route &route)
+{
+    return m_splits.try_emplace(route.name, m_random.unit()).first->second;
+}
+
+Duration Gateway::expectedWork(const Route &route) const
+{
+    const auto it = m_work.find(route.name);
+    if (it != m_work.end())
+        return it->second;
+    return duration_cast<Duration>(route.latencyObjective * assumedWorkShare);
+}
+
+void Gateway::recordWork(const Route &route, Duration work)
+{
+    const auto known = expectedWork(route);
+    m_work[route.name] = known + duration_cast<Duration>((work - known) * workWeight);
+}
+
+void Gateway::recordOutcome(const RequestOutcome &outcome, Duration latency)
+{
+    m_metrics.recordOutcome(outcome, latency);
+}
+
+std::shared_ptr<PendingRequestHandle> Gateway::handle(CallerRequest request, ReplyHandler reply)
+{
+    auto exchange = std::make_shared<ProxyExchange>(*this, std::move(request), std::move(reply));
+    exchange->start();
+    return exchange;
+}
+
+void Gateway::inputRefused(RefusalReason reason)
+{
+    m_metrics.recordOutcome(Refusal{reason}, {});
+    m_events.record(EventId::CallerInputRefused, {{"why", std::string(nameOf(reason))}});
+}
+
+const RequestLimits &Gateway::limits() const
+{
+    static const RequestLimits standard;
+    return m_snapshot->routes ? m_snapshot->routes->limits() : standard;
+}
+
+void Gateway::accept(TcpSocket socket, RequestHandler &handler)
+{
+    if (m_sessions.size() >= m_settings.maxConnections) {
+        m_events.record(EventId::CallerConnectionRefused,
+                        {{"open", std::to_string(m_sessions.size())}});
+        return;
+    }
+    auto session = std::make_shared<CallerSession>(m_context, std::move(socket), handler, *this);
+    m_sessions.insert(session);
+    session->start();
+}
+
+void Gateway::sessionEnded(const std::shared_ptr<CallerSession> &session)
+{
+    m_sessions.erase(session);
+}
+
+void Gateway::beginStop()
+{
+    m_isStopping = true;
+}
+
+void Gateway::closeIdleSessions()
+{
+    m_callerListener.close();
+    for (const auto &it : m_sessions)
+        it->closeIfIdle();
+}
+
+bool Gateway::isIdle() const
+{
+    return std::none_of(m_sessions.begin(), m_sessions.end(),
+                        [](const auto &it) { return it->isBusy(); });
+}
+
+void Gateway::closeAll()
+{
+    m_callerListener.close();
+    m_readyListener.close();
+    m_metricsListener.close();
+    for (const auto &[id, entry] : m_entries)
+        entry.upstream->closeIdle();
+}
+
+std::string Gateway::metricsText() const
+{
+    struct Row
+    {
+        std::string_view name;
+        std::string_view kind;
+        std::uint64_t value;
+    };
+    const Row rows[] = {
+            {"sapphireladder_route_version", "gauge",
+             m_snapshot->routes ? m_snapshot->routes->version() : 0},
+            {"sapphireladder_targets", "gauge", m_entries.size()},
+            {"sapphireladder_fleet_size", "gauge", m_snapshot->fleetSize},
+            {"sapphireladder_caller_connections", "gauge", m_sessions.size()},
+            {"sapphireladder_load_questions_total", "counter", m_upstreamCounts.asked},
+            {"sapphireladder_load_questions_failed_total", "counter", m_upstreamCounts.askFailures},
+            {"sapphireladder_target_connections_opened_total", "counter", m_upstreamCounts.opened},
+            {"sapphireladder_abandoned_total", "counter", m_abandoned},
+    };
+    std::ostringstream out;
+    for (const auto &it : rows)
+        out << "# TYPE " << it.name << ' ' << it.kind << '\n' << it.name << ' ' << it.value << '\n';
+    out << m_metrics.toText();
+    return out.str();
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Process/Loop/ProcessLoop.h
@@ -0,0 +1,9 @@
+#pragma once
+
+/** @file Public header of what lives as long as the process and runs on an event loop. */
+
+#include "Process/Loop/ConnectionListener.h"
+#include "Process/Loop/Gateway.h"
+#include "Process/Loop/StatusHandler.h"
+#include "Process/Process.h"
+#include "Request/Loop/RequestLoop.h"
--- a/Source/Process/ServiceView.h
+++ b/Source/Process/ServiceView.h
@@ -8,9 +8,6 @@
 
 namespace Sapphireladder {
 
-/** Number of a target's life. Each restart has a higher one; 0 is a life of unknown number. */
-using Incarnation = std::uint64_t;
-
 /** What the control thread holds of a target at the time of a view. */
 struct TargetVerdict
 {
--- /dev/null
+++ b/Source/Process/Yaml/GatewaySettingsReader.cpp
@@ -0,0 +1,31 @@
+#include "Process/Yaml/ProcessYaml.h"
+
+namespace Sapphireladder {
+
+std::optional<GatewaySettings> readGatewaySettings(std::string_view text, YamlFaults &faults)
+{
+    using namespace std::chrono_literals;
+    const auto document = parseYaml(text, faults);
+    if (!document)
+        return std::nullopt;
+    GatewaySettings settings;
+    YamlSection root(*document, faults, "settings");
+    root.identifier("vm", settings.vm, Presence::Required);
+    root.identifier("zone", settings.zone, Presence::Required);
+    root.endpoint("caller_endpoint", settings.callerEndpoint, Presence::Required);
+    root.endpoint("ready_endpoint", settings.readyEndpoint, Presence::Required);
+    root.endpoint("metrics_endpoint", settings.metricsEndpoint, Presence::Required);
+    root.endpoint("platform_endpoint", settings.platformEndpoint, Presence::Required);
+    root.duration("stop_grace", settings.stopGrace, {1s, 10min});
+    root.number("repeat_ratio", settings.repeatRatio, {0.0, 1.0});
+    root.number("repeat_slack", settings.repeatSlack, {0.0, 1e6});
+    root.duration("repeat_window", settings.repeatWindow, {1s, 10min});
+    root.number("asks_per_target", settings.asksPerTarget, {0.0, 1e4});
+    root.wholeNumber<std::size_t>("max_connections", settings.maxConnections, {1, 100000});
+    root.finish();
+    if (!faults.list().empty())
+        return std::nullopt;
+    return settings;
+}
+
+} // namespace Sapphireladder
--- a/Source/Request/AttemptResult.h
+++ b/Source/Request/AttemptResult.h
@@ -24,6 +24,10 @@
 {
     unsigned inFlight = 0;
     unsigned slots = 0;
+    /** Requests that wait for a slot. */
+    unsigned waiting = 0;
+    /** How much longer work takes now than usual on the target's machine; 1 is as usual. */
+    double slowdown = 1.0;
 };
 
 /** The target gave a whole answer. */
--- a/Source/Request/Http/AnswerWriter.cpp
+++ b/Source/Request/Http/AnswerWriter.cpp
@@ -52,6 +52,8 @@
         head.set(outcomeHeader, std::string(outcome));
         head.set(reasonHeader, std::string(reason));
         head.setContentType("text/plain");
+        for (const auto &it : context.fields)
+            head.set(it.name, it.value);
         return encode(head, status, std::string(outcome) + ": " + std::string(reason) + "\n");
     }
 
--- a/Source/Request/Http/AnswerWriter.h
+++ b/Source/Request/Http/AnswerWriter.h
@@ -2,6 +2,7 @@
 
 #include "Request/Request.h"
 
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,8 @@
     bool isHead = false;
     /** The connection stays open after the answer. */
     bool keepConnection = false;
+    /** Further fields of an answer that no target gave. */
+    std::span<const HeaderField> fields{};
 };
 
 /**
--- a/Source/Request/Http/HeadCheck.cpp
+++ b/Source/Request/Http/HeadCheck.cpp
@@ -104,11 +104,6 @@
     return true;
 }
 
-bool equalsIgnoringCase(std::string_view a, std::string_view b)
-{
-    return Poco::icompare(std::string(a), std::string(b)) == 0;
-}
-
 } // namespace
 
 bool hasBareLineFeed(std::string_view text)
--- /dev/null
+++ b/Source/Request/Loop/ProxyExchange.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "Request/Loop/TrafficHost.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Sapphireladder {
+
+/** Takes one request from its route to its reply. Lives for the request, on the traffic thread. */
+class ProxyExchange final
+    : public PendingRequestHandle
+    , public std::enable_shared_from_this<ProxyExchange>
+{
+public:
+    /** @param host outlives the exchange */
+    ProxyExchange(TrafficHost &host, CallerRequest request, RequestHandler::ReplyHandler reply);
+
+    /** Starts the work. */
+    void start();
+    void cancel() override;
+
+private:
+    /** The attempt that is out at a target. */
+    struct Attempt
+    {
+        std::shared_ptr<Upstream> upstream;
+        std::shared_ptr<UpstreamConnection> connection;
+        TimePoint sentAt{};
+        /** Cost of the target when the attempt was sent. */
+        double cost = 1.0;
+    };
+
+    void findTarget();
+    void continueSearch();
+    void perform(const AskStep &step);
+    void perform(const SendStep &step);
+    void perform(const WaitStep &step);
+    void perform(const RefuseStep &step);
+    void send(const std::shared_ptr<Upstream> &upstream);
+    std::string encodeAttempt(const Upstream &upstream, Duration timeLeft) const;
+    void attemptEnded(AttemptResult result);
+    void learn(const AttemptResult &result, const TargetStatement &said, AttemptVerdict verdict);
+    bool mayRetry(const FailedAttempt &failure);
+    void deadlinePassed();
+    TimePoint giveUpTime() const;
+    RequestInfo info() const;
+    void refuse(RefusalReason reason);
+    void finish(RequestOutcome outcome);
+    std::vector<HeaderField> replyFields(const RequestOutcome &outcome);
+    void logSent(const Attempt &attempt) const;
+    void logEnd(const RequestOutcome &outcome) const;
+    void startTimer(LoopTimer &timer, TimePoint time, void (ProxyExchange::*handler)());
+
+    TrafficHost &m_host;
+    const CallerRequest m_request;
+    RequestHandler::ReplyHandler m_reply;
+    CallerTerms m_terms;
+    /** Keeps the route alive. */
+    std::shared_ptr<const RouteTable> m_routes;
+    const Route *m_route = nullptr;
+    ServiceName m_service;
+    TimePoint m_deadline{};
+    LoopTimer m_deadlineTimer;
+    LoopTimer m_waitTimer;
+    std::optional<TargetSearch> m_search;
+    std::vector<std::shared_ptr<Upstream>> m_candidates;
+    std::optional<Attempt> m_attempt;
+    unsigned m_attempts = 0;
+    std::vector<TargetId> m_tried;
+    TargetId m_lastTarget;
+    /** Set once an attempt ended without proof that the target did not run the request. */
+    std::optional<Unknown> m_mayHaveRun;
+    /** Failure of a target, delivered if no other attempt does better. */
+    std::optional<Answer> m_failedAnswer;
+};
+
+} // namespace Sapphireladder
--- a/Source/Request/Reasons.cpp
+++ b/Source/Request/Reasons.cpp
@@ -31,6 +31,7 @@
         "stopping",
         "request-cut",
         "request-timeout",
+        "time-too-short",
 };
 
 constexpr NameTable<UnknownReason> unknownNames = {
@@ -39,8 +40,8 @@
 };
 
 constexpr NameTable<RetryReason> retryNames = {
-        "connect-failed", "stale-connection", "shed", "connection-reset", "answer-timeout",
-        "answer-cut",     "answer-mismatch",
+        "connect-failed", "stale-connection", "shed",          "connection-reset", "answer-timeout",
+        "answer-cut",     "answer-mismatch",  "target-failed", "misdirected",
 };
 
 constexpr NameTable<RetryDenial> denialNames = {
--- a/Source/Request/Reasons.h
+++ b/Source/Request/Reasons.h
@@ -29,6 +29,8 @@
     Stopping,
     RequestCut,
     RequestTimeout,
+    /** Too little time is left for a target to run the request. */
+    TimeTooShort,
     Count,
 };
 
@@ -54,6 +56,10 @@
     AnswerTimeout,
     AnswerCut,
     AnswerMismatch,
+    /** The target ran the request and failed. */
+    TargetFailed,
+    /** Another target answered at the address. */
+    Misdirected,
     Count,
 };
 
--- /dev/null
+++ b/Source/Request/SplitChooser.cpp
@@ -0,0 +1,28 @@
+#include "Request/Request.h"
+
+namespace Sapphireladder {
+
+std::size_t SplitChooser::choose(std::span<const WeightedService> services)
+{
+    /** Fractional part of the golden ratio: its multiples spread most evenly over [0, 1). */
+    constexpr double step = 0.6180339887498949;
+    m_place += step;
+    if (m_place >= 1.0)
+        m_place -= 1.0;
+    double sum = 0;
+    for (const auto &it : services)
+        sum += it.weight;
+    double rest = m_place * sum;
+    std::size_t last = 0;
+    for (std::size_t i = 0; i < services.size(); ++i) {
+        if (services[i].weight <= 0)
+            continue;
+        last = i;
+        rest -= services[i].weight;
+        if (rest < 0)
+            break;
+    }
+    return last;
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Request/TargetFigures.cpp
@@ -0,0 +1,78 @@
+#include "Request/Request.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Sapphireladder {
+
+namespace {
+
+/** A target that sheds is busy rather than broken. */
+constexpr double shedFailure = 0.5;
+
+} // namespace
+
+void TargetFigures::ended(AttemptVerdict verdict, TimePoint now)
+{
+    if (m_inFlight > 0)
+        --m_inFlight;
+    ++m_endedSinceReport;
+    if (verdict == AttemptVerdict::Failed)
+        addFailure(1.0, now);
+    else if (verdict == AttemptVerdict::Shed)
+        addFailure(shedFailure, now);
+    else if (verdict == AttemptVerdict::Served)
+        m_failures /= 2;
+}
+
+void TargetFigures::reported(const LoadReport &load, bool isHealthy, TimePoint now)
+{
+    m_report = load;
+    m_isHealthy = isHealthy;
+    m_reportAt = now;
+    m_sentSinceReport = 0;
+    m_endedSinceReport = 0;
+}
+
+void TargetFigures::probeFailed(TimePoint now)
+{
+    addFailure(1.0, now);
+    m_reportAt.reset();
+}
+
+double TargetFigures::cost(TimePoint now) const
+{
+    const double slots = std::max(1U, m_slots);
+    const double load = expectedLoad() + 1;
+    double cost = m_reportAt ? m_report.slowdown : assumedSlowdown;
+    if (load / slots > nearFullShare)
+        cost *= nearFullSlowdown;
+    cost *= 1.0 + std::max(0.0, load - slots) / slots;
+    if (now < m_warmUntil)
+        cost *= warmupSlowdown;
+    if (!m_isHealthy)
+        cost *= unhealthyFactor;
+    return cost * (1.0 + failureWeight * failures(now));
+}
+
+unsigned TargetFigures::expectedLoad() const
+{
+    if (!m_reportAt)
+        return m_inFlight;
+    const unsigned load = m_report.inFlight + m_report.waiting + m_sentSinceReport;
+    const unsigned left = load > m_endedSinceReport ? load - m_endedSinceReport : 0;
+    return std::max(left, m_inFlight);
+}
+
+double TargetFigures::failures(TimePoint now) const
+{
+    return m_failures * std::exp2(-toSeconds(now - m_failuresAt) / toSeconds(failureHalfLife));
+}
+
+void TargetFigures::addFailure(double weight, TimePoint now)
+{
+    m_failures = failures(now) + weight;
+    m_failuresAt = now;
+}
+
+} // namespace Sapphireladder
--- /dev/null
+++ b/Source/Request/TargetSearch.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "Request/Reasons.h"
+#include "Request/TargetFigures.h"
+
+#include <optional>
+#include <span>
+#include <variant>
+#include <vector>
+
+namespace Sapphireladder {
+
+/** One target that a request could go to. */
+struct SearchCandidate
+{
+    const TargetFigures *figures = nullptr;
+    /** The target is in the VM's own availability zone. */
+    bool isLocal = false;
+    /** The budget of load questions for the target allows another one. */
+    bool mayAsk = true;
+};
+
+/** How a target is searched for. */
+struct SearchPolicy
+{
+    /** Targets asked for their load at once, in the first round and in each further one. */
+    std::size_t firstRound = 2;
+    std::size_t nextRound = 3;
+    /** Age up to which a load report is used as it is. Neighbours' load shifts in milliseconds. */
+    Duration freshFor = std::chrono::milliseconds(30);
+    /** Time for the answers of one round. A target answers in about 1 ms when it is well. */
+    Duration roundTime = std::chrono::milliseconds(12);
+    /** Cost at which a target is taken without comparing further ones: idle and not slowed. */
+    double goodCost = 1.3;
+    /** Cost up to which an answer is still expected in time. */
+    double acceptableCost = 2.0;
+    /** Time between two searches while all targets are too busy. */
+    Duration pause = std::chrono::milliseconds(20);
+    /** Requests that wait at a target for each slot, above which it is not sent another one. */
+    double maxQueueShare = 1.0;
+};
+
+/** Asks these targets for their load. */
+struct AskStep
+{
+    std::vector<std::size_t> candidates;
+};
+/** Sends the request to this target. */
+struct SendStep
+{
+    std::size_t candidate = 0;
+};
+/** Waits for answers, or for the time given. */
+struct WaitStep
+{
+    TimePoint until{};
+};
+/** No target can run the request in time. */
+struct RefuseStep
+{
+    RefusalReason reason = RefusalReason::NoUsableTarget;
+};
+
+using SearchStep = std::variant<AskStep, SendStep, WaitStep, RefuseStep>;
+
+/**
+ * Finds the target for one attempt. Load reports are older than what they report lasts, so that the
+ * search asks a few targets just before sending, and takes the first that is idle and not slowed.
+ */
+class TargetSearch
+{
+public:
+    /**
+     * @param policy outlives the search
+     * @param candidates usable targets; own ones of the zone are asked first
+     * @param giveUpAt time up to which the search waits for a better target
+     */
+    TargetSearch(const SearchPolicy &policy, std::vector<SearchCandidate> candidates,
+                 TimePoint giveUpAt, RandomSource &random);
+
+    /** Called at the start, after each answer and when a wait is over. @return what to do next. */
+    SearchStep next(TimePoint now);
+    /** The candidate told its load; its figures hold it. */
+    void answered(std::size_t candidate);
+    /** The candidate did not tell its load. */
+    void failed(std::size_t candidate);
+
+    /** @return questions asked so far. */
+    std::size_t asked() const { return m_askedCount; }
+
+private:
+    enum class State : std::uint8_t {
+        Unasked,
+        Asked,
+        Answered,
+        Failed,
+    };
+
+    std::optional<std::size_t> best(TimePoint now, bool freshOnly) const;
+    AskStep askRound(TimePoint now);
+    SearchStep decideAfterAll(TimePoint now);
+    bool hasRoom(std::size_t candidate) const;
+
+    const SearchPolicy &m_policy;
+    std::vector<SearchCandidate> m_candidates;
+    std::vector<State> m_states;
+    /** Candidates in the order in which they are asked. */
+    std::vector<std::size_t> m_order;
+    std::size_t m_nextInOrder = 0;
+    std::size_t m_outstanding = 0;
+    std::size_t m_askedCount = 0;
+    TimePoint m_roundEnd{};
+    TimePoint m_pauseEnd{};
+    TimePoint m_giveUpAt;
+};
+
+} // namespace Sapphireladder
--- a/Source/Version/Version.h
+++ b/Source/Version/Version.h
@@ -7,4 +7,5 @@
 #include "Version/Preset.h"
 #include "Version/PresetRegister.h"
 #include "Version/PresetSnapshot.h"
+#include "Version/RouteTable.h"
 #include "Version/VersionError.h"
--- /dev/null
+++ b/Tests/Connection/MessageReaderTest.cpp
@@ -0,0 +1,165 @@
+#include "Connection/Loop/ConnectionLoop.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+
+TEST_SUITE_BEGIN("Connection");
+
+struct AnswerReaderFixture
+{
+    /** Feeds the text in pieces. @return how far the answer was read. */
+    ReadProgress feed(std::string_view text, std::size_t pieceSize = 1)
+    {
+        auto progress = ReadProgress::NeedMore;
+        while (!text.empty() && progress == ReadProgress::NeedMore) {
+            auto piece = text.substr(0, pieceSize);
+            const auto size = piece.size();
+            progress = reader.feed(piece);
+            text.remove_prefix(size - piece.size());
+        }
+        rest = text;
+        return progress;
+    }
+
+    AnswerReader reader{false, 1000};
+    std::string rest;
+};
+
+TEST_CASE_FIXTURE(AnswerReaderFixture, "answer reader, body with a length, ends by it")
+{
+    CHECK(feed("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1")
+          == ReadProgress::Complete);
+    CHECK(reader.takeAnswer().body == "abc");
+    CHECK(rest == "HTTP/1.1");
+    CHECK(reader.keepsConnection());
+}
+
+TEST_CASE_FIXTURE(AnswerReaderFixture, "answer reader, chunked body, is put together")
+{
+    CHECK(feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: t\r\n\r\nX")
+          == ReadProgress::Complete);
+    CHECK(reader.takeAnswer().body == "abcde");
+    CHECK(rest == "X");
+}
+
+// Guards against a cut answer that looks complete.
+TEST_CASE_FIXTURE(AnswerReaderFixture,
+                  "answer reader, chunked body without its end, is not complete")
+{
+    CHECK(feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n")
+          == ReadProgress::NeedMore);
+    CHECK_FALSE(reader.completesByClose());
+}
+
+TEST_CASE_FIXTURE(AnswerReaderFixture,
+                  "answer reader, body without a length, ends by the close only")
+{
+    CHECK(feed("HTTP/1.1 200 OK\r\n\r\nabc") == ReadProgress::NeedMore);
+    CHECK(reader.completesByClose());
+    CHECK(reader.takeAnswer().body == "abc");
+    CHECK_FALSE(reader.keepsConnection());
+}
+
+TEST_CASE_FIXTURE(AnswerReaderFixture, "answer reader, interim answer, is read past")
+{
+    CHECK(feed("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+               "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+          == ReadProgress::Complete);
+    CHECK(reader.takeAnswer().status == 200);
+}
+
+// Guards against an answer whose end two readers would see in different places.
+TEST_CASE_FIXTURE(AnswerReaderFixture, "answer reader, two framings, are refused")
+{
+    CHECK(feed("HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n")
+          == ReadProgress::Malformed);
+}
+
+TEST_CASE_FIXTURE(AnswerReaderFixture, "answer reader, bytes that are no answer, are refused")
+{
+    CHECK(feed("garbage\r\n\r\n", 64) == ReadProgress::Malformed);
+}
+
+TEST_CASE_FIXTURE(AnswerReaderFixture, "answer reader, chunk with a wrong end, is refused")
+{
+    CHECK(feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcX\r\n")
+          == ReadProgress::Malformed);
+}
+
+TEST_CASE_FIXTURE(AnswerReaderFixture, "answer reader, body beyond the limit, is refused")
+{
+    CHECK(feed("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\nabc") == ReadProgress::TooLarge);
+}
+
+TEST_CASE_FIXTURE(AnswerReaderFixture, "answer reader, stated idle timeout, is told")
+{
+    feed("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=10\r\n\r\n");
+    CHECK(reader.idleTimeout() == std::chrono::seconds(10));
+}
+
+struct RequestReaderFixture
+{
+    ReadProgress feed(std::string_view text)
+    {
+        auto progress = ReadProgress::NeedMore;
+        while (!text.empty() && progress == ReadProgress::NeedMore) {
+            auto piece = text.substr(0, 1);
+            progress = reader.feed(piece);
+            text.remove_prefix(1 - piece.size());
+        }
+        return progress;
+    }
+
+    RequestReader reader{200, 100};
+};
+
+TEST_CASE_FIXTURE(RequestReaderFixture, "request reader, whole request, keeps the caller's fields")
+{
+    CHECK(feed("POST /p/?q=1 HTTP/1.1\r\nHost: a\r\nX-Own: 1\r\nConnection: x-hop\r\nX-Hop: 2\r\n"
+               "Content-Length: 3\r\n\r\nabc")
+          == ReadProgress::Complete);
+    const auto request = reader.takeRequest();
+    CHECK(request.method == "POST");
+    CHECK(request.target == "/p/?q=1");
+    CHECK(request.body == "abc");
+    REQUIRE(request.headers.size() == 2);
+    CHECK(request.headers[0].name == "Host");
+    CHECK(request.headers[1].name == "X-Own");
+}
+
+// Guards against a second request that is smuggled in the body of the first.
+TEST_CASE_FIXTURE(RequestReaderFixture, "request reader, two framings, are refused")
+{
+    CHECK(feed("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: "
+               "chunked\r\n\r\n")
+          == ReadProgress::Malformed);
+    CHECK(reader.fault() == RefusalReason::BadFraming);
+}
+
+TEST_CASE_FIXTURE(RequestReaderFixture, "request reader, limits, are kept")
+{
+    CHECK(feed("GET / HTTP/1.1\r\nHost: " + std::string(300, 'a')) == ReadProgress::TooLarge);
+    CHECK(reader.fault() == RefusalReason::HeaderTooLarge);
+}
+
+TEST_CASE_FIXTURE(RequestReaderFixture, "request reader, body beyond the limit, is refused")
+{
+    CHECK(feed("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n")
+          != ReadProgress::Complete);
+    std::string_view one = "x";
+    CHECK(reader.feed(one) == ReadProgress::TooLarge);
+    CHECK(reader.fault() == RefusalReason::BodyTooLarge);
+}
+
+// Guards against a caller that waits for leave to send its body.
+TEST_CASE_FIXTURE(RequestReaderFixture, "request reader, caller that expects leave, says so once")
+{
+    CHECK(feed("PUT / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+          == ReadProgress::NeedMore);
+    CHECK(reader.takeContinueWish());
+    CHECK_FALSE(reader.takeContinueWish());
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/Tests/Platform/PlatformDecoderTest.cpp
@@ -0,0 +1,186 @@
+#include "platform/HeaderDialect.h"
+#include "platform/PlatformError.h"
+#include "platform/RouteDecoder.h"
+#include "platform/TargetDecoder.h"
+
+#include <doctest/doctest.h>
+
+#include <nlohmann/json.hpp>
+
+using namespace Sapphireladder;
+using namespace Sapphireladder::Platform;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Platform");
+
+struct TargetDecoderFixture
+{
+    nlohmann::json entry = {{"service", "desk"},
+                            {"address", "10.1.2.3:8080"},
+                            {"zone", "z1"},
+                            {"version", "v1"},
+                            {"slots", 6},
+                            {"state", "ready"},
+                            {"seq", 4},
+                            {"warmup_left_ms", 250},
+                            {"born", 1780946659019}};
+
+    Result<TargetRecord> decode() const { return decodeTarget("i-1", entry.dump()); }
+};
+
+TEST_CASE_FIXTURE(TargetDecoderFixture, "target decoder, whole entry, gives the record")
+{
+    const auto record = decode();
+    REQUIRE(record);
+    CHECK(record.value().id == TargetId("i-1"));
+    CHECK(record.value().endpoint == Endpoint{"10.1.2.3", 8080});
+    CHECK(record.value().slots == 6);
+    CHECK(record.value().warmupLeft == 250ms);
+    CHECK(record.value().incarnation == 1780946659019);
+    CHECK_FALSE(record.value().isDraining);
+}
+
+// Guards against entries of other writers that are taken for targets.
+TEST_CASE_FIXTURE(TargetDecoderFixture, "target decoder, field missing, is refused")
+{
+    for (const auto *field : {"service", "address", "zone", "slots", "state", "seq"}) {
+        CAPTURE(field);
+        auto broken = entry;
+        broken.erase(field);
+        CHECK_FALSE(decodeTarget("i-1", broken.dump()));
+    }
+}
+
+TEST_CASE_FIXTURE(TargetDecoderFixture, "target decoder, field of another type, is refused")
+{
+    for (const auto *field : {"service", "address", "zone", "slots", "state", "seq", "born"}) {
+        CAPTURE(field);
+        auto broken = entry;
+        broken[field] = nlohmann::json::array();
+        CHECK_FALSE(decodeTarget("i-1", broken.dump()));
+    }
+}
+
+TEST_CASE_FIXTURE(TargetDecoderFixture, "target decoder, value that is not allowed, is refused")
+{
+    entry["slots"] = 0;
+    CHECK_FALSE(decode());
+    entry["slots"] = 2.5;
+    CHECK_FALSE(decode());
+    entry["slots"] = 2;
+    entry["state"] = "sleeping";
+    CHECK_FALSE(decode());
+    entry["state"] = "draining";
+    CHECK(decode().value().isDraining);
+    entry["address"] = "nowhere";
+    CHECK_FALSE(decode());
+}
+
+TEST_CASE_FIXTURE(TargetDecoderFixture, "target decoder, bytes that are no entry, are refused")
+{
+    CHECK_FALSE(decodeTarget("i-1", "\xff\x00garbage"));
+    CHECK_FALSE(decodeTarget("i-1", "[]"));
+    CHECK_FALSE(decodeTarget("i-1", ""));
+}
+
+struct RouteDecoderFixture
+{
+    nlohmann::json config = nlohmann::json::parse(R"({
+        "version": 7,
+        "services": [{"name": "desk", "health_path": "/health", "max_conns": 220},
+                     {"name": "library", "health_path": "/h", "max_conns": 220}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864,
+                   "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+        "hosts": [{"host": "a.example", "paths": [
+            {"name": "r1", "prefix": "/p/", "kind": "safe", "timeout_ms": 800,
+             "target_latency_ms": 200, "priority": 2, "max_attempts": 2,
+             "split": [{"service": "desk", "weight": 90}, {"service": "library", "weight": 10}]},
+            {"name": "r2", "prefix": "/q/", "kind": "unsafe", "target_latency_ms": 150,
+             "priority": 0, "service": "library", "max_attempts": 3}]}]})");
+
+    Result<RouteTableContent> decode() const { return decodeRoutes(config.dump()); }
+    nlohmann::json &path(std::size_t i) { return config["hosts"][0]["paths"][i]; }
+};
+
+TEST_CASE_FIXTURE(RouteDecoderFixture, "route decoder, whole configuration, gives the routes")
+{
+    const auto content = decode();
+    REQUIRE(content);
+    CHECK(content.value().version == 7);
+    CHECK(content.value().limits.headTimeout == 3s);
+    const auto &routes = content.value().hosts.front().routes;
+    CHECK(routes[0].idempotent);
+    CHECK(routes[0].timeout == 800ms);
+    CHECK(routes[0].services[1].weight == 10);
+    CHECK_FALSE(routes[1].idempotent);
+    CHECK(routes[1].timeout == Duration::zero());
+    CHECK(routes[1].maxAttempts == 3);
+}
+
+// Guards against a request that runs twice because its kind is not known.
+TEST_CASE_FIXTURE(RouteDecoderFixture, "route decoder, unknown kind, is not repeated")
+{
+    path(0)["kind"] = "sideways";
+    CHECK_FALSE(decode().value().hosts.front().routes[0].idempotent);
+}
+
+TEST_CASE_FIXTURE(RouteDecoderFixture, "route decoder, wrong types, are refused")
+{
+    path(0)["timeout_ms"] = "soon";
+    CHECK(decode().error().code == PlatformError::WrongType);
+    path(0)["timeout_ms"] = -1;
+    CHECK(decode().error().code == PlatformError::BadValue);
+    config["hosts"] = "none";
+    CHECK(decode().error().code == PlatformError::WrongType);
+}
+
+struct HeaderDialectFixture
+{
+    HeaderDialect dialect;
+
+    std::optional<LoadReport> load(std::string_view text) const
+    {
+        const HeaderField fields[] = {{"server-load", std::string(text)}};
+        return dialect.targetStatement(200, fields).load;
+    }
+};
+
+TEST_CASE_FIXTURE(HeaderDialectFixture, "header dialect, load of four figures, tells the slowdown")
+{
+    const auto report = load("3,1,8,400");
+    REQUIRE(report);
+    CHECK(report->inFlight == 3);
+    CHECK(report->waiting == 1);
+    CHECK(report->slots == 8);
+    CHECK(report->slowdown == doctest::Approx(4.0));
+}
+
+TEST_CASE_FIXTURE(HeaderDialectFixture, "header dialect, load that cannot be read, tells nothing")
+{
+    CHECK(load("3, 0, 8")->slowdown == doctest::Approx(1.0));
+    CHECK_FALSE(load("3,0"));
+    CHECK_FALSE(load("a,b,c"));
+    CHECK_FALSE(load("-1,0,8"));
+}
+
+// Guards against a caller's own words that reach the target as the VM's.
+TEST_CASE_FIXTURE(HeaderDialectFixture, "header dialect, terms of an attempt, replace the caller's")
+{
+    std::vector<HeaderField> fields{
+            {"deadline-ms", "5000"}, {"Expect-Instance", "x"}, {"Attempt-Id", "1"}};
+    dialect.setAttemptTerms(fields, {800ms, "i-1"});
+    REQUIRE(fields.size() == 3);
+    CHECK(fields[0].name == "Attempt-Id");
+    CHECK(fields[1].value == "800");
+    CHECK(fields[2].value == "i-1");
+}
+
+TEST_CASE_FIXTURE(HeaderDialectFixture, "header dialect, patience that cannot be read, is none")
+{
+    const HeaderField fields[] = {{"Attempt-Id", "1"}, {"Deadline-Ms", "99999999999999999999"}};
+    const auto terms = dialect.callerTerms(fields);
+    CHECK(terms.id == RequestId("1"));
+    CHECK_FALSE(terms.patience);
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/Tests/Process/GatewayControlTest.cpp
@@ -0,0 +1,144 @@
+#include "Process/Process.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Process");
+
+struct GatewayControlFixture
+{
+    class Sink final : public SnapshotSink
+    {
+    public:
+        void publish(std::shared_ptr<const GatewaySnapshot> snapshot) override
+        {
+            last = std::move(snapshot);
+            ++published;
+        }
+        std::shared_ptr<const GatewaySnapshot> last;
+        unsigned published = 0;
+    };
+
+    class Events final : public EventSink
+    {
+    public:
+        using EventSink::record;
+        void record(EventId id, std::span<const EventField>) override { ids.push_back(id); }
+        std::size_t count(EventId id) const
+        {
+            return static_cast<std::size_t>(std::count(ids.begin(), ids.end(), id));
+        }
+        std::vector<EventId> ids;
+    };
+
+    static RouteTableContent routes(std::uint64_t version)
+    {
+        RouteTableContent content;
+        content.version = version;
+        content.services.push_back({ServiceName("desk"), "/health", 220});
+        content.hosts.push_back({"a.example", {}});
+        Route route;
+        route.name = "r" + std::to_string(version);
+        route.prefix = "/p/";
+        route.services.push_back({ServiceName("desk"), 1.0});
+        content.hosts.back().routes.push_back(route);
+        return content;
+    }
+
+    static TargetRecord target(std::string_view id)
+    {
+        TargetRecord record;
+        record.id = TargetId(id);
+        record.service = ServiceName("desk");
+        return record;
+    }
+
+    void receive(std::uint64_t version)
+    {
+        control.routesReceived(routes(version));
+        control.changesComplete();
+    }
+
+    ManualClock clock;
+    Sink sink;
+    Events events;
+    GatewayControl control{sink, events, clock};
+};
+
+// Guards against a configuration that goes back within one life of the process.
+TEST_CASE_FIXTURE(GatewayControlFixture, "gateway control, older routes, are ignored and counted")
+{
+    receive(7);
+    receive(5);
+    CHECK(sink.last->routes->version() == 7);
+    CHECK(control.counts().routesOlder == 1);
+    CHECK(sink.published == 1);
+}
+
+// Guards against routes that take the place of good ones although they cannot be used.
+TEST_CASE_FIXTURE(GatewayControlFixture, "gateway control, invalid routes, leave those in force")
+{
+    receive(7);
+    auto content = routes(8);
+    content.hosts.front().routes.front().services.front().service = ServiceName("nobody");
+    control.routesReceived(std::move(content));
+    control.changesComplete();
+    CHECK(sink.last->routes->version() == 7);
+    CHECK(control.counts().routesRejected == 1);
+}
+
+// Guards against one snapshot for each of many changes that come together.
+TEST_CASE_FIXTURE(GatewayControlFixture,
+                  "gateway control, changes of one answer, are published once")
+{
+    control.targetChanged(target("a"));
+    control.targetChanged(target("b"));
+    CHECK(sink.published == 0);
+    control.changesComplete();
+    CHECK(sink.published == 1);
+    CHECK(sink.last->targets.size() == 2);
+}
+
+// Guards against a forged record that hides or replaces other targets.
+TEST_CASE_FIXTURE(GatewayControlFixture, "gateway control, rejected record, names no target")
+{
+    control.targetChanged(target("a"));
+    control.targetChanged(target("b"));
+    control.targetRejected(TargetId("b"), makeError(VersionError::WrongType, "slots"));
+    control.changesComplete();
+    REQUIRE(sink.last->targets.size() == 1);
+    CHECK(sink.last->targets.front().id == TargetId("a"));
+}
+
+// Guards against a log that flaps while a dependency is away.
+TEST_CASE_FIXTURE(GatewayControlFixture, "gateway control, repeated failure, is logged once")
+{
+    const auto error = makeError(VersionError::FileUnreadable);
+    for (int i = 0; i < 5; ++i)
+        control.dependencyFailed(Dependency::TargetRegistry, error);
+    control.dependencyAnswered(Dependency::TargetRegistry);
+    control.dependencyAnswered(Dependency::TargetRegistry);
+    CHECK(events.count(EventId::DependencyLost) == 1);
+    CHECK(events.count(EventId::DependencyRegained) == 1);
+}
+
+// Guards against refusals for want of targets after the registry forgot living ones.
+TEST_CASE_FIXTURE(GatewayControlFixture,
+                  "gateway control, lapsed records, are used until they return")
+{
+    control.targetChanged(target("a"));
+    control.dependencyFailed(Dependency::TargetRegistry, makeError(VersionError::FileUnreadable));
+    control.dependencyAnswered(Dependency::TargetRegistry);
+    control.targetRemoved(TargetId("a"));
+    control.changesComplete();
+    CHECK(sink.last->targets.size() == 1);
+    const auto next = control.tick();
+    REQUIRE(next);
+    clock.advance(*next - clock.now());
+    control.tick();
+    CHECK(sink.last->targets.empty());
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/Tests/Process/TargetDirectoryTest.cpp
@@ -0,0 +1,95 @@
+#include "Process/Process.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Process");
+
+struct TargetDirectoryFixture
+{
+    static TargetRecord record(std::string_view id, std::string_view service = "case-library")
+    {
+        TargetRecord record;
+        record.id = TargetId(id);
+        record.service = ServiceName(service);
+        record.endpoint = {"10.0.0.1", 8080};
+        return record;
+    }
+
+    TargetDirectoryFixture()
+    {
+        for (const auto *it : {"a", "b", "c", "d"})
+            directory.put(record(it));
+    }
+
+    void remove(std::initializer_list<const char *> ids)
+    {
+        for (const auto *it : ids)
+            directory.remove(TargetId(it), clock.now());
+    }
+
+    std::string usedIds() const
+    {
+        std::string ids;
+        for (const auto &it : directory.records())
+            ids += it.id.string();
+        return ids;
+    }
+
+    ManualClock clock;
+    TargetDirectory directory;
+};
+
+// Guards against a drained target that is used until the end of the grace, because the VM was cut
+// off while it left (nilecrest-gw scale-2, DRAIN).
+TEST_CASE_FIXTURE(TargetDirectoryFixture,
+                  "target directory, few removals after the registry returned, take effect at once")
+{
+    directory.registryReturned(clock.now());
+    remove({"a"});
+    CHECK(usedIds() == "bcd");
+}
+
+// Guards against refusing all requests when the registry lost the records of living targets.
+TEST_CASE_FIXTURE(TargetDirectoryFixture,
+                  "target directory, most records lapsed with the registry, keeps them for a while")
+{
+    directory.registryReturned(clock.now());
+    remove({"a", "b", "c"});
+    CHECK(usedIds() == "abcd");
+    directory.put(record("b"));
+    clock.advance(TargetDirectory::returnGrace);
+    CHECK(directory.expire(clock.now()));
+    CHECK(usedIds() == "bd");
+}
+
+// Guards against one service's lapse that keeps the leaving targets of another in use.
+TEST_CASE_FIXTURE(TargetDirectoryFixture,
+                  "target directory, lapse of one service, does not hold removals of another")
+{
+    directory.put(record("x", "review-office"));
+    directory.put(record("y", "review-office"));
+    directory.registryReturned(clock.now());
+    remove({"a", "b", "c", "d", "x"});
+    CHECK(usedIds() == "abcdy");
+}
+
+TEST_CASE_FIXTURE(TargetDirectoryFixture,
+                  "target directory, removal while the registry is well, takes effect at once")
+{
+    remove({"a", "b", "c", "d"});
+    CHECK(usedIds().empty());
+    CHECK_FALSE(directory.nextExpiry());
+}
+
+// Guards against records that a whole read no longer holds.
+TEST_CASE_FIXTURE(TargetDirectoryFixture, "target directory, whole read, replaces all records")
+{
+    const TargetRecord read[] = {record("b"), record("e")};
+    directory.replaceAll(read, clock.now());
+    CHECK(usedIds() == "be");
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/Tests/Request/ProxyDecisionTest.cpp
@@ -0,0 +1,357 @@
+#include "Request/Request.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Request");
+
+struct RetryBudgetFixture
+{
+    ManualClock clock;
+    RepeatPolicy policy{0.2, 10s, 20, 10};
+    WindowedRetryBudget budget{policy, clock};
+
+    unsigned takeAll()
+    {
+        unsigned n = 0;
+        while (budget.takeRetry())
+            ++n;
+        return n;
+    }
+};
+
+// Guards against a fleet whose VMs together repeat more than the bound allows.
+TEST_CASE_FIXTURE(RetryBudgetFixture,
+                  "retry budget, without requests, gives the share of the slack")
+{
+    CHECK(takeAll() == 1);
+}
+
+TEST_CASE_FIXTURE(RetryBudgetFixture, "retry budget, with requests, gives their ratio besides")
+{
+    for (int i = 0; i < 100; ++i)
+        budget.recordFirstAttempt();
+    CHECK(takeAll() == 19);
+}
+
+// Guards against repeats that fall into one window although each half of it had its own allowance.
+TEST_CASE_FIXTURE(RetryBudgetFixture, "retry budget, repeats of the last window, count against it")
+{
+    for (int i = 0; i < 100; ++i)
+        budget.recordFirstAttempt();
+    takeAll();
+    clock.advance(9s);
+    CHECK(takeAll() == 0);
+    clock.advance(2s);
+    CHECK(takeAll() == 1);
+}
+
+struct SplitChooserFixture
+{
+    std::vector<WeightedService> services{{ServiceName("a"), 90}, {ServiceName("b"), 10}};
+    SplitChooser chooser{0.5};
+};
+
+// Guards against shares that are far from the weights when a VM sees few requests.
+TEST_CASE_FIXTURE(SplitChooserFixture, "split chooser, few requests, keeps close to the weights")
+{
+    unsigned second = 0;
+    for (int i = 0; i < 50; ++i)
+        second += chooser.choose(services) == 1 ? 1 : 0;
+    CHECK(second >= 4);
+    CHECK(second <= 6);
+}
+
+TEST_CASE_FIXTURE(SplitChooserFixture, "split chooser, weight of zero, gets nothing")
+{
+    services.front().weight = 0;
+    for (int i = 0; i < 50; ++i)
+        CHECK(chooser.choose(services) == 1);
+}
+
+struct TargetFiguresFixture
+{
+    ManualClock clock;
+    TargetFigures figures{2};
+
+    void report(unsigned inFlight, double slowdown, bool isHealthy = true)
+    {
+        figures.reported({inFlight, 2, 0, slowdown}, isHealthy, clock.now());
+    }
+    double cost() { return figures.cost(clock.now()); }
+};
+
+TEST_CASE_FIXTURE(TargetFiguresFixture, "target figures, idle target that nothing slows, cost one")
+{
+    report(0, 1.0);
+    CHECK(cost() == doctest::Approx(1.0));
+}
+
+// Guards against a choice by load alone: a neighbour's work slows an idle target fourfold.
+TEST_CASE_FIXTURE(TargetFiguresFixture,
+                  "target figures, slowed idle target, cost more than a busy one")
+{
+    report(0, 4.0);
+    const auto slowed = cost();
+    report(1, 1.0);
+    CHECK(cost() < slowed);
+}
+
+// Guards against requests of one VM that all go to the target that was idle in the last report.
+TEST_CASE_FIXTURE(TargetFiguresFixture, "target figures, own sends since the report, count as load")
+{
+    report(0, 1.0);
+    figures.sent();
+    figures.sent();
+    CHECK(figures.isFull());
+    CHECK(cost() > 2.0);
+}
+
+// Guards against a target that fails at once and therefore looks idle.
+TEST_CASE_FIXTURE(TargetFiguresFixture, "target figures, failures, raise the cost for some seconds")
+{
+    report(0, 1.0);
+    figures.sent();
+    figures.ended(AttemptVerdict::Failed, clock.now());
+    report(0, 1.0);
+    CHECK(cost() > 2.0);
+    clock.advance(10s);
+    CHECK(cost() < 1.1);
+}
+
+// Guards against a target that is never used again because it calls itself ill and is well.
+TEST_CASE_FIXTURE(TargetFiguresFixture,
+                  "target figures, target that calls itself ill, is used last")
+{
+    report(0, 1.0, false);
+    CHECK(cost() == doctest::Approx(TargetFigures::unhealthyFactor));
+}
+
+TEST_CASE_FIXTURE(TargetFiguresFixture, "target figures, target that has just started, cost more")
+{
+    figures.setWarmUntil(clock.now() + 3s);
+    report(0, 1.0);
+    CHECK(cost() == doctest::Approx(TargetFigures::warmupSlowdown));
+}
+
+struct TargetSearchFixture
+{
+    ManualClock clock;
+    RandomSource random{1};
+    SearchPolicy policy;
+    std::map<std::size_t, TargetFigures> figures;
+    std::vector<SearchCandidate> candidates;
+
+    TargetSearchFixture()
+    {
+        clock.advance(1h);
+        for (std::size_t i = 0; i < 6; ++i) {
+            const auto &added = figures.emplace(i, TargetFigures(2)).first->second;
+            candidates.push_back({&added, i < 2, true});
+        }
+    }
+
+    TargetSearch search(Duration patience = 100ms)
+    {
+        return TargetSearch(policy, candidates, clock.now() + patience, random);
+    }
+
+    void answer(TargetSearch &search, std::size_t i, unsigned inFlight, double slowdown)
+    {
+        figures.at(i).reported({inFlight, 2, 0, slowdown}, true, clock.now());
+        search.answered(i);
+    }
+
+    SearchStep next(TargetSearch &search) { return search.next(clock.now()); }
+
+    /** Answers every question with the same load until the search stops asking. */
+    SearchStep answerAll(TargetSearch &search, unsigned inFlight, double slowdown)
+    {
+        auto step = next(search);
+        while (const auto *ask = std::get_if<AskStep>(&step)) {
+            const auto asked = ask->candidates;
+            for (const auto i : asked)
+                answer(search, i, inFlight, slowdown);
+            step = next(search);
+        }
+        return step;
+    }
+};
+
+// Guards against requests that cross availability zones although a target nearby is idle.
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, first round, asks the targets of its zone")
+{
+    auto it = search();
+    const auto step = next(it);
+    REQUIRE(std::holds_alternative<AskStep>(step));
+    const auto asked = std::get<AskStep>(step).candidates;
+    REQUIRE(asked.size() == 2);
+    CHECK(asked[0] < 2);
+    CHECK(asked[1] < 2);
+}
+
+// Guards against waiting for all answers when the first one is good.
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, idle target answers first, is taken at once")
+{
+    auto it = search();
+    const auto step = next(it);
+    const auto first = std::get<AskStep>(step).candidates.front();
+    answer(it, first, 0, 1.0);
+    const auto then = next(it);
+    REQUIRE(std::holds_alternative<SendStep>(then));
+    CHECK(std::get<SendStep>(then).candidate == first);
+}
+
+// Guards against sending to a slowed target while others were not asked.
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, slowed targets, goes on asking")
+{
+    auto it = search();
+    const auto step = next(it);
+    for (const auto i : std::get<AskStep>(step).candidates)
+        answer(it, i, 0, 4.0);
+    CHECK(std::holds_alternative<AskStep>(next(it)));
+}
+
+// Guards against a wait for a target that fell silent.
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, silent target, is waited for one round only")
+{
+    auto it = search();
+    next(it);
+    CHECK(std::holds_alternative<WaitStep>(next(it)));
+    clock.advance(policy.roundTime);
+    CHECK(std::holds_alternative<AskStep>(next(it)));
+}
+
+// Guards against late answers in a peak: while time remains, a free slot may still turn up.
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, all targets full, waits and asks again")
+{
+    auto it = search();
+    auto step = answerAll(it, 2, 1.0);
+    REQUIRE(std::holds_alternative<WaitStep>(step));
+    clock.advance(policy.pause + policy.freshFor);
+    CHECK(std::holds_alternative<AskStep>(next(it)));
+}
+
+// Guards against queues at targets that only produce late answers.
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, long queues everywhere, refuses in the end")
+{
+    auto it = search(0ms);
+    const auto step = answerAll(it, 6, 1.0);
+    REQUIRE(std::holds_alternative<RefuseStep>(step));
+    CHECK(std::get<RefuseStep>(step).reason == RefusalReason::QueueFull);
+}
+
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, no candidate, refuses at once")
+{
+    candidates.clear();
+    auto it = search();
+    CHECK(std::holds_alternative<RefuseStep>(next(it)));
+}
+
+// Guards against a service that is given up because its health path fails.
+TEST_CASE_FIXTURE(TargetSearchFixture,
+                  "target search, no target answers questions, sends all the same")
+{
+    auto it = search(0ms);
+    auto step = next(it);
+    while (const auto *ask = std::get_if<AskStep>(&step)) {
+        const auto asked = ask->candidates;
+        for (const auto i : asked)
+            it.failed(i);
+        step = next(it);
+    }
+    CHECK(std::holds_alternative<SendStep>(step));
+}
+
+// Guards against questions beyond the bound on measuring.
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, no question allowed, decides by old figures")
+{
+    for (auto &it : candidates)
+        it.mayAsk = false;
+    auto it = search();
+    CHECK(std::holds_alternative<SendStep>(next(it)));
+}
+
+struct AttemptRuleFixture
+{
+    static AttemptResult answered(unsigned status)
+    {
+        return {Answered{{status, {}, {}}}, {}, false, {}};
+    }
+    static TargetStatement signedStatement()
+    {
+        TargetStatement said;
+        said.isSigned = true;
+        return said;
+    }
+    static TargetStatement notRunStatement()
+    {
+        TargetStatement said;
+        said.notRun = true;
+        return said;
+    }
+};
+
+TEST_CASE_FIXTURE(AttemptRuleFixture, "attempt rule, signed success, is delivered")
+{
+    auto result = answered(200);
+    const auto judgement = judgeAttempt(result, signedStatement(), false);
+    CHECK_FALSE(judgement.failure);
+    CHECK(judgement.verdict == AttemptVerdict::Served);
+}
+
+// Guards against a success that no target vouches for.
+TEST_CASE_FIXTURE(AttemptRuleFixture, "attempt rule, unsigned success, may have run")
+{
+    auto result = answered(200);
+    const auto judgement = judgeAttempt(result, {}, false);
+    REQUIRE(judgement.failure);
+    CHECK(judgement.failure->mayHaveRun);
+    CHECK(std::holds_alternative<Unknown>(result.end));
+}
+
+// Guards against the second run of a request that is not idempotent.
+TEST_CASE_FIXTURE(AttemptRuleFixture,
+                  "attempt rule, failure of a target, is not repeated unless idempotent")
+{
+    auto result = answered(500);
+    CHECK_FALSE(judgeAttempt(result, signedStatement(), false).failure);
+    const auto judgement = judgeAttempt(result, signedStatement(), true);
+    REQUIRE(judgement.failure);
+    CHECK(judgement.failure->mayHaveRun);
+}
+
+TEST_CASE_FIXTURE(AttemptRuleFixture, "attempt rule, target that says not run, may be repeated")
+{
+    auto result = answered(503);
+    const auto judgement = judgeAttempt(result, notRunStatement(), false);
+    REQUIRE(judgement.failure);
+    CHECK_FALSE(judgement.failure->mayHaveRun);
+    CHECK(judgement.verdict == AttemptVerdict::Shed);
+}
+
+// Guards against a reused address: the target there did not run the request.
+TEST_CASE_FIXTURE(AttemptRuleFixture,
+                  "attempt rule, misdirected request, may be repeated elsewhere")
+{
+    auto result = answered(421);
+    const auto judgement = judgeAttempt(result, {}, false);
+    REQUIRE(judgement.failure);
+    CHECK_FALSE(judgement.failure->mayHaveRun);
+    CHECK(judgement.failure->reason == RetryReason::Misdirected);
+}
+
+// Guards against "not run" after a reset, which proves nothing.
+TEST_CASE_FIXTURE(AttemptRuleFixture, "attempt rule, reset connection, may have run")
+{
+    AttemptResult result{Unknown{UnknownReason::ConnectionReset}, {}, false, {}};
+    const auto judgement = judgeAttempt(result, {}, false);
+    REQUIRE(judgement.failure);
+    CHECK(judgement.failure->mayHaveRun);
+}
+
+TEST_SUITE_END();
