Relay: Ask readers that take over on demand, and keep them over changes

A trial with a log line for each call showed three causes. A reader lets changes gather for a quarter of the change bound and then waits 1.2 s, so that it was taken for cut off after each change; every VM left it. A VM that was asked and did not follow the store refused at once, so that the askers went through the whole fleet within 60 ms and then read the store themselves. A VM that turned to another source counted as unheard for that moment, and called the store too.

Ruled out: failures of the store (the calls come on calm seconds too) and the reads of new processes (3 calls of 35 a VM).

Changed: a VM that is asked follows the store as long as it is asked, and holds the question until its first answer; the first answer of a link is not held back; the time of the last word outlives the link; gathering is part of a reader's wait; after six failures within 8 s no further VM is asked. New processes hear whole tables from the reader: a VM calls the store twice at the first start and once at a later one.

--- a/Source/Process/GatewaySettings.h
+++ b/Source/Process/GatewaySettings.h
@@ -32,6 +32,8 @@
     /** Time within which a change has to be in force at a VM. */
     Duration changeBound = std::chrono::seconds(2);
     std::size_t maxConnections = 3000;
+    /** All VMs start for the first time, so that none has listed itself yet. */
+    bool isFirstStart = false;
 
     friend bool operator==(const GatewaySettings &, const GatewaySettings &) = default;
 };
--- a/Source/Process/Loop/PlatformSession.cpp
+++ b/Source/Process/Loop/PlatformSession.cpp
@@ -21,6 +21,15 @@
 constexpr Duration closeAge = 1600ms;
 /** Time for the first word of other VMs, before a VM that has just started follows the store. */
 constexpr Duration firstWordTime = 700ms;
+/** The same if all VMs start: the others count the fleet up to 1 s later. */
+constexpr Duration firstStartWordTime = 2s;
+/** Time for the first answers of the store, before a VM that others ask counts as cut off. */
+constexpr Duration closeStartTime = 1s;
+/** Time for which a VM that was asked follows the store. VMs ask about each second. */
+constexpr Duration askedTime = 2500ms;
+/** Bounds of the time until another VM is asked after one failed, doubled with each failure. */
+constexpr Duration firstLinkDelay = 20ms;
+constexpr Duration longestLinkDelay = 250ms;
 /** Age of the newest word of other VMs up to which this VM needs no store. They speak each second.
  */
 constexpr Duration fedAge = 1600ms;
@@ -42,14 +51,14 @@
     , m_events(events)
     , m_self{settings.vm, settings.zone, settings.relayEndpoint}
     , m_mirror(translator, feed)
-    , m_followers{TableFollower(context, store, m_mirror, feed, RowTable::Routes,
-                                duration_cast<Duration>(settings.changeBound * gatherShare)),
-                  TableFollower(context, store, m_mirror, feed, RowTable::Targets,
-                                duration_cast<Duration>(settings.changeBound * gatherShare))}
-    , m_server(context, m_mirror, [this] { return isFollowingClosely(); })
+    , m_followers{makeFollower(store, RowTable::Routes, settings.changeBound),
+                  makeFollower(store, RowTable::Targets, settings.changeBound)}
+    , m_server(context, m_mirror, *this)
     , m_plan(m_self)
     , m_fleetTimer(context.io)
     , m_superviseTimer(context.io)
+    , m_isFirstStart(settings.isFirstStart)
+    , m_linkDelay(firstLinkDelay)
 {
     m_mirror.setChangeHandler([this] { m_server.answerWaiting(); });
 }
@@ -57,13 +66,26 @@
 Result<> PlatformSession::start()
 {
     TRY(m_server.listen(m_self.relayEndpoint));
-    // The store is followed once the fleet is known: most VMs then hear of changes from others.
-    for (auto &it : m_followers)
-        it.read();
-    listSelf();
+    // The tables are read once the fleet is known: most VMs hear of them from others.
+    if (m_isFirstStart)
+        listSelf();
+    else
+        countFleet();
     return success();
 }
 
+TableFollower PlatformSession::makeFollower(PlatformStore &store, RowTable table,
+                                            Duration changeBound)
+{
+    return {m_context,
+            store,
+            m_mirror,
+            m_feed,
+            table,
+            duration_cast<Duration>(changeBound * gatherShare),
+            [this] { tellIfClose(); }};
+}
+
 void PlatformSession::stop()
 {
     m_fleetTimer.cancel();
@@ -79,6 +101,8 @@
 {
     // One table that is asked often proves for both that the store is reached.
     m_followers.back().setWait(isReader ? readerWait : ownWait);
+    if (!isFollowing())
+        m_followingSince = m_context.clock.now();
     for (auto &it : m_followers) {
         if (!it.isRunning())
             it.start();
@@ -91,6 +115,36 @@
         it.stop();
 }
 
+bool PlatformSession::isFollowing() const
+{
+    return std::all_of(m_followers.begin(), m_followers.end(),
+                       [](const auto &it) { return it.isRunning(); });
+}
+
+RelayState PlatformSession::relayState() const
+{
+    if (isFollowingClosely())
+        return RelayState::Close;
+    const bool isFailing = std::any_of(m_followers.begin(), m_followers.end(),
+                                       [](const auto &it) { return it.isFailing(); });
+    const bool isNew = m_context.clock.now() - m_followingSince < closeStartTime;
+    return isFollowing() && isNew && !isFailing ? RelayState::Starting : RelayState::Lost;
+}
+
+void PlatformSession::asked()
+{
+    m_askedUntil = m_context.clock.now() + askedTime;
+    follow(true);
+}
+
+void PlatformSession::tellIfClose()
+{
+    // VMs that wait for an answer turn to another VM as soon as this one has lost the store.
+    const bool isClose = isFollowingClosely();
+    if (std::exchange(m_wasClose, isClose) != isClose)
+        m_server.answerWaiting();
+}
+
 bool PlatformSession::isFollowingClosely() const
 {
     const auto now = m_context.clock.now();
@@ -101,10 +155,16 @@
 
 bool PlatformSession::isFed() const
 {
-    const auto now = m_context.clock.now();
-    return std::any_of(m_links.begin(), m_links.end(), [now](const auto &it) {
-        return it->answeredAt() && now - *it->answeredAt() <= fedAge;
-    });
+    return m_lastWordAt && m_context.clock.now() - *m_lastWordAt <= fedAge;
+}
+
+void PlatformSession::noteWords()
+{
+    // Kept beside the links: a VM that turns to another source is not cut off meanwhile.
+    for (const auto &it : m_links) {
+        if (it->answeredAt())
+            m_lastWordAt = std::max(m_lastWordAt.value_or(*it->answeredAt()), *it->answeredAt());
+    }
 }
 
 void PlatformSession::listSelf()
@@ -116,10 +176,16 @@
             callAfter(failedCountDelay, &PlatformSession::listSelf);
             return;
         }
-        callAfter(firstCountDelay, &PlatformSession::countFleet);
+        callAfter(m_isCounted ? countInterval : firstCountDelay, &PlatformSession::countFleet);
     });
 }
 
+void PlatformSession::listSelfIfMissing(std::span<const FleetMember> members)
+{
+    if (std::find(members.begin(), members.end(), m_self) == members.end())
+        listSelf();
+}
+
 void PlatformSession::countFleet()
 {
     m_store.readMembers(
@@ -140,7 +206,9 @@
     m_feed.changesComplete();
     callAfter(countInterval, &PlatformSession::countFleet);
     if (!std::exchange(m_isCounted, true))
-        m_firstWordUntil = m_context.clock.now() + firstWordTime;
+        m_firstWordUntil = m_context.clock.now()
+                           + (m_isFirstStart ? firstStartWordTime : firstWordTime);
+    listSelfIfMissing(members.value());
     if (m_plan.fleetSize() >= RelayPlan::minFleet)
         supervise();
     else
@@ -160,19 +228,21 @@
 {
     const auto now = m_context.clock.now();
     const auto role = m_plan.role(now);
+    noteWords();
     openLinks(role);
     if (!isFed())
         m_fedSince.reset();
     else if (!m_fedSince)
         m_fedSince = now;
-    if (m_fedSince && now - *m_fedSince >= settleTime)
+    if (m_fedSince)
+        m_linkDelay = firstLinkDelay;
+    if (role.isReader || now < m_askedUntil)
+        follow(true);
+    else if (m_fedSince && now - *m_fedSince >= settleTime)
         leaveStore();
-    else if (role.isReader || (!m_fedSince && now >= m_firstWordUntil))
-        follow(role.isReader);
-    // Waiting VMs turn to another one as soon as this one has lost the store.
-    const bool isClose = isFollowingClosely();
-    if (std::exchange(m_wasClose, isClose) && !isClose)
-        m_server.answerWaiting();
+    else if (!m_fedSince && now >= m_firstWordUntil)
+        follow(false);
+    tellIfClose();
     logRole(role);
     superviseAfter(superviseInterval);
 }
@@ -190,7 +260,7 @@
         const bool isOpen = std::any_of(m_links.begin(), m_links.end(), [&member](const auto &it) {
             return it->member() == member;
         });
-        if (isOpen || !m_mirror.isKnown(RowTable::Routes) || !m_mirror.isKnown(RowTable::Targets))
+        if (isOpen)
             continue;
         m_links.push_back(std::make_shared<RelayLink>(
                 m_context, m_mirror, member, [this](const auto &failed) { linkFailed(failed); }));
@@ -203,7 +273,8 @@
     m_plan.recordFailure(member.vm, m_context.clock.now());
     m_events.record(EventId::RelayLinkFailed, {{"source", member.vm.string()}});
     // Not from here: the link that failed is still at work.
-    superviseAfter(Duration::zero());
+    superviseAfter(m_linkDelay);
+    m_linkDelay = std::min(m_linkDelay * 2, longestLinkDelay);
 }
 
 void PlatformSession::logRole(const RelayRole &role)
--- a/Source/Process/Loop/PlatformSession.h
+++ b/Source/Process/Loop/PlatformSession.h
@@ -14,7 +14,7 @@
  * Keeps this VM's knowledge of the platform up to date: follows the store itself, or hears of
  * changes from the few VMs that do. Runs on the control thread.
  */
-class PlatformSession
+class PlatformSession final : public RelaySource
 {
 public:
     /** The references outlive the session. */
@@ -26,10 +26,19 @@
     /** Ends all calls. */
     void stop();
 
+    // RelaySource
+    RelayState relayState() const override;
+    void asked() override;
+
 private:
+    TableFollower makeFollower(PlatformStore &store, RowTable table, Duration changeBound);
     bool isFollowingClosely() const;
+    bool isFollowing() const;
     bool isFed() const;
+    void noteWords();
+    void tellIfClose();
     void listSelf();
+    void listSelfIfMissing(std::span<const FleetMember> members);
     void countFleet();
     void membersRead(Result<std::vector<FleetMember>> members);
     void superviseAfter(Duration delay);
@@ -54,11 +63,21 @@
     LoopTimer m_fleetTimer;
     LoopTimer m_superviseTimer;
     RandomSource m_random = RandomSource::fromSystem();
+    /** When a link last told changes. */
+    std::optional<TimePoint> m_lastWordAt;
     /** Since when the links have told changes without a gap. */
     std::optional<TimePoint> m_fedSince;
     /** Until then the links may start to tell, before the store is followed. */
     TimePoint m_firstWordUntil{};
+    /** This VM has to list itself before it counts the fleet for the first time. */
+    bool m_isFirstStart;
     bool m_isCounted = false;
+    /** Other VMs ask this one; it follows the store up to this time at least. */
+    TimePoint m_askedUntil{};
+    /** Since when the VM follows the store without a stop. */
+    TimePoint m_followingSince{};
+    /** Time until another VM is asked after one failed. */
+    Duration m_linkDelay{};
     bool m_wasClose = false;
     std::string m_loggedRole;
 };
--- a/Source/Process/Loop/RelayCodec.cpp
+++ b/Source/Process/Loop/RelayCodec.cpp
@@ -9,6 +9,8 @@
 using Json = nlohmann::json;
 
 constexpr std::array<const char *, rowTableCount> tableNames = {"routes", "targets"};
+/** Ends a request whose answer is not to be held back. */
+constexpr std::string_view immediateMark = "&immediate";
 
 Json encodeRow(const SourceRow &row)
 {
@@ -42,6 +44,7 @@
         return std::nullopt;
     RelayChanges::Table table;
     table.position = object["position"].get<std::uint64_t>();
+    table.isWhole = object.contains("whole");
     for (const auto &it : object["rows"]) {
         auto row = decodeRow(it);
         if (!row)
@@ -53,25 +56,31 @@
 
 } // namespace
 
-std::string encodeRelayTarget(const RelayPositions &positions)
+std::string encodeRelayTarget(const RelayQuery &query)
 {
     std::string target(relayPath);
     char separator = '?';
-    for (std::size_t i = 0; i < positions.size(); ++i) {
+    for (std::size_t i = 0; i < query.positions.size(); ++i) {
         target += separator;
-        target.append(tableNames[i]).append("=").append(std::to_string(positions[i]));
+        target.append(tableNames[i]).append("=").append(std::to_string(query.positions[i]));
         separator = '&';
     }
+    if (query.isImmediate)
+        target += immediateMark;
     return target;
 }
 
-std::optional<RelayPositions> decodeRelayTarget(std::string_view target)
+std::optional<RelayQuery> decodeRelayTarget(std::string_view target)
 {
     if (!target.starts_with(relayPath))
         return std::nullopt;
     target.remove_prefix(relayPath.size());
-    RelayPositions positions{};
-    for (std::size_t i = 0; i < positions.size(); ++i) {
+    RelayQuery query;
+    if (target.ends_with(immediateMark)) {
+        query.isImmediate = true;
+        target.remove_suffix(immediateMark.size());
+    }
+    for (std::size_t i = 0; i < query.positions.size(); ++i) {
         const auto name = std::string(1, i == 0 ? '?' : '&') + tableNames[i] + '=';
         if (!target.starts_with(name))
             return std::nullopt;
@@ -80,10 +89,10 @@
         const auto n = parseUnsigned(target.substr(0, end));
         if (!n)
             return std::nullopt;
-        positions[i] = n.value();
+        query.positions[i] = n.value();
         target.remove_prefix(end);
     }
-    return target.empty() ? std::optional(positions) : std::nullopt;
+    return target.empty() ? std::optional(query) : std::nullopt;
 }
 
 std::string encodeRelayChanges(const RelayChanges &changes)
@@ -95,6 +104,8 @@
             rows.push_back(encodeRow(it));
         object[tableNames[i]] = {{"position", changes.tables[i].position},
                                  {"rows", std::move(rows)}};
+        if (changes.tables[i].isWhole)
+            object[tableNames[i]]["whole"] = true;
     }
     // Rows of other writers may hold bytes that are no text; they name no target anyway.
     return object.dump(-1, ' ', false, Json::error_handler_t::replace);
--- a/Source/Process/Loop/RelayLink.cpp
+++ b/Source/Process/Loop/RelayLink.cpp
@@ -45,11 +45,13 @@
 
 void RelayLink::ask()
 {
-    RelayPositions positions{};
+    RelayQuery query;
     for (const auto table : rowTables)
-        positions[static_cast<std::size_t>(table)] = m_mirror.position(table);
+        query.positions[static_cast<std::size_t>(table)] = m_mirror.position(table);
+    // The first answer tells whether the VM may be relied on.
+    query.isImmediate = !m_answeredAt;
     UpstreamRequest request;
-    request.bytes = "GET " + encodeRelayTarget(positions)
+    request.bytes = "GET " + encodeRelayTarget(query)
                     + " HTTP/1.1\r\nHost: " + m_member.relayEndpoint.toString() + "\r\n\r\n";
     request.bodyLimit = answerLimit;
     m_connection->exchange(std::move(request), askTimeout,
@@ -76,7 +78,10 @@
     m_answeredAt = m_context.clock.now();
     for (const auto table : rowTables) {
         const auto &told = changes.value().tables[static_cast<std::size_t>(table)];
-        m_mirror.apply(table, told.rows, told.position);
+        if (told.isWhole)
+            m_mirror.replaceAll(table, told.rows, told.position);
+        else
+            m_mirror.apply(table, told.rows, told.position);
     }
     if (m_isStopped)
         return;
--- a/Source/Process/Loop/RelayServer.cpp
+++ b/Source/Process/Loop/RelayServer.cpp
@@ -16,9 +16,9 @@
     , public std::enable_shared_from_this<Waiting>
 {
 public:
-    Waiting(RelayServer &server, RelayPositions positions, ReplyHandler reply)
+    Waiting(RelayServer &server, RelayQuery query, ReplyHandler reply)
         : m_server(server)
-        , m_positions(positions)
+        , m_query(query)
         , m_reply(std::move(reply))
         , m_timer(server.m_context.io)
     {}
@@ -38,7 +38,7 @@
     {
         if (!m_reply)
             return;
-        auto outcome = m_server.outcomeFor(m_positions, isDue);
+        auto outcome = m_server.outcomeFor(m_query, isDue);
         if (!outcome)
             return;
         m_timer.cancel();
@@ -54,15 +54,15 @@
 
 private:
     RelayServer &m_server;
-    const RelayPositions m_positions;
+    const RelayQuery m_query;
     ReplyHandler m_reply;
     LoopTimer m_timer;
 };
 
-RelayServer::RelayServer(LoopContext &context, const RowMirror &mirror, FreshCheck isFresh)
+RelayServer::RelayServer(LoopContext &context, const RowMirror &mirror, RelaySource &source)
     : m_context(context)
     , m_mirror(mirror)
-    , m_isFresh(std::move(isFresh))
+    , m_source(source)
     , m_listener(context, [this](TcpSocket socket) {
         auto session = std::make_shared<CallerSession>(m_context, std::move(socket), *this, *this);
         m_sessions.insert(session);
@@ -74,34 +74,38 @@
 
 std::shared_ptr<PendingRequestHandle> RelayServer::handle(CallerRequest request, ReplyHandler reply)
 {
-    const auto positions = decodeRelayTarget(request.target);
-    if (!positions) {
+    const auto query = decodeRelayTarget(request.target);
+    if (!query) {
         reply({Refusal{RefusalReason::UnknownService}, {}});
         return nullptr;
     }
-    auto waiting = std::make_shared<Waiting>(*this, *positions, std::move(reply));
+    m_source.asked();
+    auto waiting = std::make_shared<Waiting>(*this, *query, std::move(reply));
     m_waiting.push_back(waiting);
     waiting->start();
     waiting->answer(false);
     return waiting;
 }
 
-std::optional<RequestOutcome> RelayServer::outcomeFor(const RelayPositions &positions,
-                                                      bool isDue) const
+std::optional<RequestOutcome> RelayServer::outcomeFor(const RelayQuery &query, bool isDue) const
 {
-    if (!m_isFresh())
+    const auto state = m_source.relayState();
+    if (state == RelayState::Starting && !isDue)
+        return std::nullopt;
+    if (state != RelayState::Close)
         return Refusal{RefusalReason::NoPreset};
     RelayChanges changes;
     bool hasRows = false;
     for (const auto table : rowTables) {
         const auto i = static_cast<std::size_t>(table);
-        auto rows = m_mirror.changesSince(table, positions[i]);
-        if (!rows)
-            return Refusal{RefusalReason::NoPreset};
-        hasRows = hasRows || !rows->empty();
-        changes.tables[i] = {m_mirror.position(table), std::move(*rows)};
+        auto rows = m_mirror.changesSince(table, query.positions[i]);
+        const bool isWhole = !rows;
+        if (isWhole)
+            rows = m_mirror.allRows(table);
+        hasRows = hasRows || isWhole || !rows->empty();
+        changes.tables[i] = {m_mirror.position(table), std::move(*rows), isWhole};
     }
-    if (!hasRows && !isDue)
+    if (!hasRows && !isDue && !query.isImmediate)
         return std::nullopt;
     return textAnswer(encodeRelayChanges(changes));
 }
--- a/Source/Process/Loop/RelayServer.h
+++ b/Source/Process/Loop/RelayServer.h
@@ -10,17 +10,34 @@
 
 namespace Sapphireladder {
 
+/** How well a VM follows the store. */
+enum class RelayState : std::uint8_t {
+    /** It may speak for the store. */
+    Close,
+    /** It has just begun to follow the store. */
+    Starting,
+    /** It does not reach the store. */
+    Lost,
+};
+
+/** What the relay server tells of. */
+class RelaySource
+{
+public:
+    virtual ~RelaySource() = default;
+    virtual RelayState relayState() const = 0;
+    /** Another VM asks for changes: the VM follows the store as long as it is asked. */
+    virtual void asked() = 0;
+};
+
 /** Tells other VMs of changes. Answers are held back until there is a change, for a while. */
 class RelayServer final
     : public RequestHandler
     , public SessionRegistry
 {
 public:
-    /** Tells whether this VM follows the store closely enough to speak for it. */
-    using FreshCheck = std::function<bool()>;
-
     /** The references outlive the server. */
-    RelayServer(LoopContext &context, const RowMirror &mirror, FreshCheck isFresh);
+    RelayServer(LoopContext &context, const RowMirror &mirror, RelaySource &source);
     ~RelayServer() override;
 
     Result<> listen(const Endpoint &endpoint) { return m_listener.listen(endpoint); }
@@ -39,11 +56,11 @@
     /** A request that waits for a change. */
     class Waiting;
 
-    std::optional<RequestOutcome> outcomeFor(const RelayPositions &positions, bool isDue) const;
+    std::optional<RequestOutcome> outcomeFor(const RelayQuery &query, bool isDue) const;
 
     LoopContext &m_context;
     const RowMirror &m_mirror;
-    FreshCheck m_isFresh;
+    RelaySource &m_source;
     RequestLimits m_limits;
     bool m_isStopping = false;
     std::list<std::weak_ptr<Waiting>> m_waiting;
--- a/Source/Process/Loop/TableFollower.cpp
+++ b/Source/Process/Loop/TableFollower.cpp
@@ -18,36 +18,52 @@
 } // namespace
 
 TableFollower::TableFollower(LoopContext &context, PlatformStore &store, RowMirror &mirror,
-                             PlatformFeed &feed, RowTable table, Duration gatherTime)
+                             PlatformFeed &feed, RowTable table, Duration gatherTime,
+                             AnswerHandler answered)
     : m_context(context)
     , m_store(store)
     , m_mirror(mirror)
     , m_feed(feed)
     , m_table(table)
     , m_gatherTime(gatherTime)
+    , m_answered(std::move(answered))
     , m_timer(context.io)
     , m_wait(longWait)
 {}
 
-void TableFollower::read()
+void TableFollower::start()
 {
+    m_isRunning = true;
+    m_answeredAt.reset();
     if (!m_isBusy)
         callNext();
 }
 
-void TableFollower::start()
+void TableFollower::stop()
 {
-    m_isRunning = true;
-    read();
+    m_isRunning = false;
+    m_isBusy = false;
+    ++m_stops;
+    m_timer.cancel();
+    m_pages.clear();
+}
+
+PlatformStore::RowsHandler
+TableFollower::handlerFor(void (TableFollower::*handler)(Result<SourceRows>))
+{
+    return [this, handler, stops = m_stops](Result<SourceRows> rows) {
+        if (stops == m_stops)
+            (this->*handler)(std::move(rows));
+    };
 }
 
 void TableFollower::callNext()
 {
     m_isBusy = false;
-    if (!m_isRunning && !m_needsRead)
+    if (!m_isRunning)
         return;
     m_isBusy = true;
-    if (m_needsRead)
+    if (needsRead())
         readPage();
     else
         awaitChanges();
@@ -56,7 +72,7 @@
 void TableFollower::readPage()
 {
     const std::string from = m_pages.empty() ? std::string() : m_pages.back().key;
-    m_store.readRows(m_table, from, [this](Result<SourceRows> page) { pageRead(std::move(page)); });
+    m_store.readRows(m_table, from, handlerFor(&TableFollower::pageRead));
 }
 
 void TableFollower::pageRead(Result<SourceRows> page)
@@ -80,24 +96,30 @@
         return;
     }
     m_failures = 0;
-    m_needsRead = false;
+    m_isHistoryGone = false;
     m_answeredAt = m_context.clock.now();
     const auto all = std::exchange(m_pages, {});
     m_mirror.replaceAll(m_table, all, m_readPosition);
+    m_answered();
     callNext();
 }
 
 void TableFollower::awaitChanges()
 {
-    m_store.awaitChanges(m_table, m_mirror.position(m_table), m_wait,
-                         [this](Result<SourceRows> changes) { changesRead(std::move(changes)); });
+    // The first answer is not held back, so that the VM knows whether it reaches the store.
+    // The time for which changes gathered counts as a part of the wait, so that the answers of a
+    // VM that tells others are never further apart than its wait.
+    const auto sinceAnswer = m_answeredAt ? m_context.clock.now() - *m_answeredAt : m_wait;
+    const auto wait = std::max(Duration::zero(), m_wait - sinceAnswer);
+    m_store.awaitChanges(m_table, m_mirror.position(m_table), wait,
+                         handlerFor(&TableFollower::changesRead));
 }
 
 void TableFollower::changesRead(Result<SourceRows> changes)
 {
     if (!changes) {
-        m_needsRead = m_store.isHistoryGone(changes.error());
-        if (m_needsRead)
+        m_isHistoryGone = m_store.isHistoryGone(changes.error());
+        if (m_isHistoryGone)
             callNext();
         else
             callFailed(changes.error());
@@ -106,6 +128,7 @@
     m_failures = 0;
     m_answeredAt = m_context.clock.now();
     m_mirror.apply(m_table, changes.value().rows, changes.value().position);
+    m_answered();
     if (changes.value().rows.empty())
         callNext();
     else
@@ -125,8 +148,8 @@
 void TableFollower::callAfter(Duration delay)
 {
     m_timer.expires_after(delay);
-    m_timer.async_wait([this](const auto &ec) {
-        if (!ec)
+    m_timer.async_wait([this, stops = m_stops](const auto &ec) {
+        if (!ec && stops == m_stops)
             callNext();
     });
 }
--- a/Source/Process/Loop/TableFollower.h
+++ b/Source/Process/Loop/TableFollower.h
@@ -3,31 +3,39 @@
 #include "Connection/Loop/ConnectionLoop.h"
 #include "Process/Process.h"
 
+#include <functional>
+
 namespace Sapphireladder {
 
 /** Follows one table of the store into the mirror: reads it once, then waits for its changes. */
 class TableFollower
 {
 public:
+    /** Called after each answer of the store. */
+    using AnswerHandler = std::function<void()>;
+
     /** The references outlive the follower. */
     TableFollower(LoopContext &context, PlatformStore &store, RowMirror &mirror, PlatformFeed &feed,
-                  RowTable table, Duration gatherTime);
+                  RowTable table, Duration gatherTime, AnswerHandler answered);
 
-    /** Reads the table once. */
-    void read();
-    /** Reads the table if that was not done, and goes on with its changes. */
+    /** Reads the table if nothing is known of it, and goes on with its changes. */
     void start();
-    /** Makes no further calls after the one in work. */
-    void stop() { m_isRunning = false; }
+    /** Makes no further calls. The answer of one in work is dropped. */
+    void stop();
     bool isRunning() const { return m_isRunning; }
+    /** @return whether the newest call failed. */
+    bool isFailing() const { return m_failures > 0; }
     /** @param wait time that the store may hold back an answer without changes */
     void setWait(Duration wait) { m_wait = wait; }
-    /** @return when the store last answered, or nothing. */
+    /** @return when the store last answered since the start, or nothing. */
     std::optional<TimePoint> answeredAt() const { return m_answeredAt; }
 
 private:
+    bool needsRead() const { return m_isHistoryGone || !m_mirror.isKnown(m_table); }
     void callNext();
     void readPage();
+    /** @return a handler that drops the answer if the follower was stopped meanwhile. */
+    PlatformStore::RowsHandler handlerFor(void (TableFollower::*handler)(Result<SourceRows>));
     void pageRead(Result<SourceRows> page);
     void awaitChanges();
     void changesRead(Result<SourceRows> changes);
@@ -40,13 +48,17 @@
     PlatformFeed &m_feed;
     const RowTable m_table;
     const Duration m_gatherTime;
+    AnswerHandler m_answered;
     LoopTimer m_timer;
     RandomSource m_random = RandomSource::fromSystem();
     Duration m_wait;
     bool m_isRunning = false;
     /** A call or a timer for one is out. */
     bool m_isBusy = false;
-    bool m_needsRead = true;
+    /** Counts the stops, so that answers to calls of before are known. */
+    std::uint64_t m_stops = 0;
+    /** Changes since the known position can't be had any more. */
+    bool m_isHistoryGone = false;
     std::vector<SourceRow> m_pages;
     /** Position of the first page. */
     std::uint64_t m_readPosition = 0;
--- a/Source/Process/RelayPlan.cpp
+++ b/Source/Process/RelayPlan.cpp
@@ -38,10 +38,11 @@
     return it != m_failedAt.end() && now - it->second < failureMemory;
 }
 
-bool RelayPlan::isAnyFailing(TimePoint now) const
+std::size_t RelayPlan::countFailing(TimePoint now) const
 {
-    return std::any_of(m_failedAt.begin(), m_failedAt.end(),
-                       [now](const auto &it) { return now - it.second < failureMemory; });
+    const auto n = std::count_if(m_failedAt.begin(), m_failedAt.end(),
+                                 [now](const auto &it) { return now - it.second < failureMemory; });
+    return static_cast<std::size_t>(n);
 }
 
 std::size_t RelayPlan::readerCount() const
@@ -77,10 +78,13 @@
     if (std::any_of(chosen.begin(), chosen.end(),
                     [this](const auto &it) { return it.vm == m_self.vm; }))
         return {true, {}};
+    const auto failing = countFailing(now);
+    if (failing >= maxFailing)
+        return {};
     std::stable_partition(chosen.begin(), chosen.end(),
                           [this](const auto &it) { return it.zone == m_self.zone; });
     // VMs without a reader in their zone spread over the others.
-    const std::size_t sourceCount = isAnyFailing(now) ? maxSources : 1;
+    const std::size_t sourceCount = failing > 0 ? maxSources : 1;
     if (chosen.size() > sourceCount && chosen.front().zone != m_self.zone)
         std::rotate(chosen.begin(),
                     chosen.begin() + static_cast<std::ptrdiff_t>(rankOf(m_self.vm) % chosen.size()),
--- a/Source/Process/RelayPlan.h
+++ b/Source/Process/RelayPlan.h
@@ -36,6 +36,11 @@
     static constexpr std::size_t maxReaders = 6;
     /** Readers that a VM asks at the same time while any VM fails. Otherwise one is enough. */
     static constexpr std::size_t maxSources = 2;
+    /**
+     * VMs that failed lately, from which on no further one is asked. Then the store or this VM's
+     * links are at fault, and each VM that is asked calls the store too.
+     */
+    static constexpr std::size_t maxFailing = 6;
     /** Time for which a VM that did not answer is left out. */
     static constexpr Duration failureMemory = std::chrono::seconds(8);
 
@@ -55,7 +60,7 @@
     bool isFailing(const VmId &vm, TimePoint now) const;
 
     std::size_t readerCount() const;
-    bool isAnyFailing(TimePoint now) const;
+    std::size_t countFailing(TimePoint now) const;
 
     const FleetMember m_self;
     /** All VMs, this one included, in an order that is the same everywhere. */
--- a/Source/Process/RowMirror.cpp
+++ b/Source/Process/RowMirror.cpp
@@ -37,13 +37,8 @@
     if (!known.isKnown)
         known.base = position;
     known.isKnown = true;
-    std::vector<SourceRow> all;
-    for (const auto &[key, row] : known.rows) {
-        if (!row.isDeleted)
-            all.push_back(row);
-    }
     m_feed.dependencyAnswered(dependencyOf(table));
-    m_translator.translateAll(table, all, m_feed);
+    m_translator.translateAll(table, allRows(table), m_feed);
     m_feed.changesComplete();
     if (m_changeHandler)
         m_changeHandler();
@@ -97,6 +92,16 @@
     }
 }
 
+std::vector<SourceRow> RowMirror::allRows(RowTable table) const
+{
+    std::vector<SourceRow> rows;
+    for (const auto &[key, row] : state(table).rows) {
+        if (!row.isDeleted)
+            rows.push_back(row);
+    }
+    return rows;
+}
+
 std::optional<std::vector<SourceRow>> RowMirror::changesSince(RowTable table,
                                                               std::uint64_t position) const
 {
--- a/Source/Process/RowMirror.h
+++ b/Source/Process/RowMirror.h
@@ -38,6 +38,8 @@
     /** @return rows that changed after the position, or nothing if that is not known any more. */
     std::optional<std::vector<SourceRow>> changesSince(RowTable table,
                                                        std::uint64_t position) const;
+    /** @return all rows of a table. */
+    std::vector<SourceRow> allRows(RowTable table) const;
     /** Called after rows changed. */
     void setChangeHandler(std::function<void()> handler) { m_changeHandler = std::move(handler); }
 
--- a/Tests/Process/RelayTest.cpp
+++ b/Tests/Process/RelayTest.cpp
@@ -91,6 +91,24 @@
     CHECK(plan.role(clock.now()).sources == before);
 }
 
+// Guards against VMs that make the whole fleet call a store that is down.
+TEST_CASE_FIXTURE(RelayPlanFixture, "relay plan, many VMs fail, asks no further one")
+{
+    constexpr auto failing = static_cast<int>(RelayPlan::maxFailing);
+    for (int i = failing; i < 60; ++i) {
+        auto plan = planOf(i);
+        for (int k = 0; k < failing; ++k)
+            plan.recordFailure(member(k).vm, clock.now());
+        CHECK(plan.role(clock.now()).sources.empty());
+    }
+    auto plan = planOf(failing);
+    for (int k = 0; k < failing; ++k)
+        plan.recordFailure(member(k).vm, clock.now());
+    clock.advance(RelayPlan::failureMemory);
+    const auto role = plan.role(clock.now());
+    CHECK((role.isReader || !role.sources.empty()));
+}
+
 struct RowMirrorFixture
 {
     class Translator final : public RowTranslator
@@ -194,8 +212,8 @@
     RelayChanges changes;
     RelayCodecFixture()
     {
-        changes.tables[0] = {7, {{"config", "{}", 7, false}}};
-        changes.tables[1] = {9, {{"a", {}, 9, true}}};
+        changes.tables[0] = {7, {{"config", "{}", 7, false}}, true};
+        changes.tables[1] = {9, {{"a", {}, 9, true}}, false};
     }
 };
 
@@ -222,7 +240,10 @@
         CAPTURE(it);
         CHECK_FALSE(decodeRelayChanges(it));
     }
-    CHECK(decodeRelayTarget(encodeRelayTarget({3, 4})) == RelayPositions{3, 4});
+    for (const bool isImmediate : {false, true}) {
+        const RelayQuery query{{3, 4}, isImmediate};
+        CHECK(decodeRelayTarget(encodeRelayTarget(query)) == query);
+    }
     for (const auto *it :
          {"/", "/relay/changes", "/relay/changes?routes=1", "/relay/changes?routes=1&targets=x",
           "/relay/changes?routes=1&targets=2&z=3"})
