Overload: Refuse what can't be in time, fill targets below the knee

A log of one zone shows targets with five and six of six slots busy, where all work takes 1.7 times as long, so that a target finishes less than with four; and requests sent at the last moment to targets that neighbours slow down fourfold, where they are late and keep slots busy for long. A search asked every target while it waited, which used up the budget of questions; then it chose by reports that were seconds old.

Changed: a target has room up to the number of requests at which it finishes most; a request that can't be in time is refused unless a target is idle and not slowed; less urgent requests of a service leave a slot of each target for a part of their spare time; a pass asks nine targets; the budget of questions is a class of its own, looked at when a question is asked, and no longer at the start of the search; equal targets are chosen in random order. Routes without an objective wait until their deadline.

--- a/Source/Connection/Loop/Upstream.cpp
+++ b/Source/Connection/Loop/Upstream.cpp
@@ -11,10 +11,8 @@
     , m_counts(counts)
     , m_spec(std::move(spec))
     , m_figures(m_spec.slots)
-    , m_tokensAt(context.clock.now())
-{
-    m_tokens = m_askPolicy.perSecond * m_askPolicy.burstSeconds;
-}
+    , m_askBudget(context.clock.now())
+{}
 
 Upstream::~Upstream()
 {
@@ -23,22 +21,6 @@
     closeIdle();
 }
 
-void Upstream::refillTokens()
-{
-    const auto now = m_context.clock.now();
-    const double limit = std::max(1.0, m_askPolicy.perSecond * m_askPolicy.burstSeconds);
-    m_tokens = std::min(limit, m_tokens + toSeconds(now - m_tokensAt) * m_askPolicy.perSecond);
-    m_tokensAt = now;
-}
-
-bool Upstream::mayAsk()
-{
-    if (m_askConnection)
-        return true;
-    refillTokens();
-    return m_tokens >= 1.0;
-}
-
 void Upstream::ask(AskHandler handler)
 {
     m_askHandlers.push_back(std::move(handler));
@@ -48,13 +30,12 @@
 
 void Upstream::sendQuestion()
 {
-    refillTokens();
-    m_tokens -= 1.0;
+    m_askBudget.take(m_context.clock.now());
     ++m_counts.asked;
     m_askConnection = take(Reuse::Any);
     UpstreamRequest request;
     request.bytes = encodeQuestion();
-    m_askConnection->exchange(std::move(request), m_askPolicy.timeout,
+    m_askConnection->exchange(std::move(request), m_askBudget.policy().timeout,
                               [weak = weak_from_this()](const AttemptResult &result) {
                                   if (const auto self = weak.lock())
                                       self->questionEnded(result);
@@ -88,7 +69,7 @@
     if (!isAnswered) {
         ++m_counts.askFailures;
         m_figures.probeFailed(now);
-        dropSilentSince(now - m_askPolicy.timeout);
+        dropSilentSince(now - m_askBudget.policy().timeout);
     }
     for (const auto &it : handlers)
         it(isAnswered);
--- a/Source/Connection/Loop/Upstream.h
+++ b/Source/Connection/Loop/Upstream.h
@@ -20,17 +20,6 @@
     std::string healthPath;
 };
 
-/** Bounds of the questions for a target's load. */
-struct AskPolicy
-{
-    /** Questions a second that this VM may ask one target on average. */
-    double perSecond = 1.0;
-    /** Seconds' worth of questions that may be asked at once. */
-    double burstSeconds = 10.0;
-    /** Time until an answer; a later one says nothing of the load now. */
-    Duration timeout = std::chrono::milliseconds(150);
-};
-
 /** Bounds of the connections to one target. */
 struct UpstreamLimits
 {
@@ -73,15 +62,15 @@
     TargetFigures &figures() { return m_figures; }
     const TargetFigures &figures() const { return m_figures; }
 
-    void setAskPolicy(const AskPolicy &policy) { m_askPolicy = policy; }
+    void setAskPolicy(const AskPolicy &policy) { m_askBudget.setPolicy(policy); }
     void setDraining(bool isDraining) { m_isDraining = isDraining; }
     /** @return whether new requests may be sent. */
     bool isUsable() const { return !m_isDraining && !m_isMisaddressed; }
     /** Another target answers at the address. */
     void setMisaddressed() { m_isMisaddressed = true; }
 
-    /** @return whether the budget allows a question for the load. */
-    bool mayAsk();
+    /** @return the budget of questions for the load. */
+    const AskBudget &askBudget() const { return m_askBudget; }
     /** Asks for the load. Questions at the same time share one answer. */
     void ask(AskHandler handler);
 
@@ -103,7 +92,6 @@
 
     void sendQuestion();
     void questionEnded(const AttemptResult &result);
-    void refillTokens();
     std::string encodeQuestion() const;
     bool isReusable(const IdleConnection &idle, Reuse reuse, TimePoint now) const;
 
@@ -113,9 +101,7 @@
     const UpstreamSpec m_spec;
     TargetFigures m_figures;
     UpstreamLimits m_limits;
-    AskPolicy m_askPolicy;
-    double m_tokens = 0;
-    TimePoint m_tokensAt;
+    AskBudget m_askBudget;
     bool m_isDraining = false;
     bool m_isMisaddressed = false;
     std::vector<IdleConnection> m_idle;
--- /dev/null
+++ b/Source/Request/AskBudget.cpp
@@ -0,0 +1,19 @@
+#include "Request/Request.h"
+
+#include <algorithm>
+
+namespace Sapphireladder {
+
+double AskBudget::tokens(TimePoint now) const
+{
+    const double limit = std::max(1.0, m_policy.perSecond * m_policy.burstSeconds);
+    return std::min(limit, m_tokens + toSeconds(now - m_refilledAt) * m_policy.perSecond);
+}
+
+void AskBudget::take(TimePoint now)
+{
+    m_tokens = tokens(now) - 1.0;
+    m_refilledAt = now;
+}
+
+} // namespace Sapphireladder
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -14,6 +14,10 @@
 /** Taken off the time that a target gets, so that its own answer at the end still arrives in time.
  */
 constexpr Duration answerMargin = 10ms;
+/** Taken off the latency objective for the way to the caller and back. */
+constexpr Duration callerWay = 20ms;
+/** Part of the time to spare in which a request leaves slots to more urgent ones. */
+constexpr double yieldShare = 0.7;
 /** Time until a caller that was refused comes back, as a share of the route's latency objective. */
 constexpr double comeBackShare = 0.5;
 /** Bounds of the time until a refused caller comes back. */
@@ -66,7 +70,6 @@
 
 void ProxyExchange::findTarget()
 {
-    const auto now = m_host.context().clock.now();
     m_candidates.clear();
     std::vector<SearchCandidate> candidates;
     for (const auto &it : m_host.upstreams(m_service)) {
@@ -75,21 +78,22 @@
         if (isTried || !it->isUsable())
             continue;
         m_candidates.push_back(it);
-        candidates.push_back({&it->figures(), it->spec().isLocal, it->mayAsk()});
+        candidates.push_back({&it->figures(), it->spec().isLocal, &it->askBudget()});
     }
-    m_search.emplace(
-            m_host.searchPolicy(), std::move(candidates),
-            SearchTime{std::max(now, giveUpTime()), m_deadline, m_host.expectedWork(*m_route)},
-            m_host.random());
+    m_search.emplace(m_host.searchPolicy(), std::move(candidates), searchTime(), m_host.random());
     continueSearch();
 }
 
-TimePoint ProxyExchange::giveUpTime() const
+SearchTime ProxyExchange::searchTime() const
 {
-    if (m_route->latencyObjective <= Duration::zero())
-        return m_request.arrivedAt;
-    const auto slack = m_route->latencyObjective - m_host.expectedWork(*m_route);
-    return std::min(m_request.arrivedAt + std::max(slack, Duration::zero()), m_deadline);
+    SearchTime time{m_deadline, m_host.expectedWork(*m_route), m_request.arrivedAt};
+    if (m_route->latencyObjective > Duration::zero())
+        time.objectiveAt = std::min(m_deadline,
+                                    m_request.arrivedAt + m_route->latencyObjective - callerWay);
+    const auto spare = time.objectiveAt - m_request.arrivedAt - time.work;
+    if (m_routes->mostUrgentOf(m_service) < m_route->priority && spare > Duration::zero())
+        time.yieldsUntil += duration_cast<Duration>(spare * yieldShare);
+    return time;
 }
 
 void ProxyExchange::continueSearch()
@@ -385,7 +389,7 @@
              {"target", attempt.upstream->spec().id.string()},
              {"attempt", std::to_string(m_attempts)},
              {"cost", std::to_string(attempt.cost)},
-             {"load", std::to_string(figures.expectedLoad())},
+             {"load", std::to_string(figures.expectedLoad(attempt.sentAt))},
              {"report_age_ms", reportAt ? milliseconds(attempt.sentAt - *reportAt) : "none"},
              {"waited_ms", milliseconds(attempt.sentAt - m_request.arrivedAt)},
              {"left_ms", milliseconds(m_deadline - attempt.sentAt)}});
--- a/Source/Request/Loop/ProxyExchange.h
+++ b/Source/Request/Loop/ProxyExchange.h
@@ -45,7 +45,7 @@
     void learn(const AttemptResult &result, const TargetStatement &said, AttemptVerdict verdict);
     bool mayRetry(const FailedAttempt &failure);
     void deadlinePassed();
-    TimePoint giveUpTime() const;
+    SearchTime searchTime() const;
     RequestInfo info() const;
     void refuse(RefusalReason reason);
     void finish(RequestOutcome outcome);
--- a/Source/Request/Request.h
+++ b/Source/Request/Request.h
@@ -3,6 +3,7 @@
 /** @file Public header of what lives for one request: its description, attempts and decisions. */
 
 #include "Request/AgedEstimateSelector.h"
+#include "Request/AskBudget.h"
 #include "Request/AttemptResult.h"
 #include "Request/AttemptRule.h"
 #include "Request/Claim.h"
--- a/Source/Request/TargetFigures.cpp
+++ b/Source/Request/TargetFigures.cpp
@@ -10,6 +10,12 @@
 /** A target that sheds is busy rather than broken. */
 constexpr double shedFailure = 0.5;
 
+/** @return how much longer work takes on a target with that many requests in its slots. */
+double loadSlowdown(unsigned load, unsigned slots)
+{
+    return load > slots * TargetFigures::nearFullShare ? TargetFigures::nearFullSlowdown : 1.0;
+}
+
 } // namespace
 
 void TargetFigures::ended(AttemptVerdict verdict, TimePoint now)
@@ -40,13 +46,22 @@
     m_reportAt.reset();
 }
 
+unsigned TargetFigures::usefulSlots() const
+{
+    unsigned useful = 1;
+    for (unsigned n = 2; n <= m_slots; ++n) {
+        if (n / loadSlowdown(n, m_slots) > useful / loadSlowdown(useful, m_slots))
+            useful = n;
+    }
+    return useful;
+}
+
 double TargetFigures::cost(TimePoint now) const
 {
+    const auto load = expectedLoad(now) + 1;
     const double slots = std::max(1U, m_slots);
-    const double load = expectedLoad() + 1;
     double cost = m_reportAt ? m_report.slowdown : assumedSlowdown;
-    if (load / slots > nearFullShare)
-        cost *= nearFullSlowdown;
+    cost *= loadSlowdown(load, m_slots);
     cost *= 1.0 + std::max(0.0, load - slots) / slots;
     if (now < m_warmUntil)
         cost *= warmupSlowdown;
@@ -55,10 +70,12 @@
     return cost * (1.0 + failureWeight * failures(now));
 }
 
-unsigned TargetFigures::expectedLoad() const
+unsigned TargetFigures::expectedLoad(TimePoint now) const
 {
     if (!m_reportAt)
         return m_inFlight;
+    if (now - *m_reportAt > reportLife)
+        return m_inFlight;
     const unsigned load = m_report.inFlight + m_report.waiting + m_sentSinceReport;
     const unsigned left = load > m_endedSinceReport ? load - m_endedSinceReport : 0;
     return std::max(left, m_inFlight);
--- a/Source/Request/TargetFigures.h
+++ b/Source/Request/TargetFigures.h
@@ -26,6 +26,8 @@
 public:
     /** Slowdown assumed of a target whose own figure is missing. */
     static constexpr double assumedSlowdown = 1.5;
+    /** Age from which a reported load says nothing any more: all that work has ended. */
+    static constexpr Duration reportLife = std::chrono::seconds(5);
     /** Share of busy slots above which targets slow down. */
     static constexpr double nearFullShare = 0.8;
     /** How much longer work takes on a target that is nearly full. */
@@ -64,9 +66,13 @@
     /** @return the time that a request sent now is expected to take, as a multiple. */
     double cost(TimePoint now) const;
     /** @return requests expected at the target, in work and waiting. */
-    unsigned expectedLoad() const;
-    /** @return whether all slots are expected to be busy. */
-    bool isFull() const { return expectedLoad() >= m_slots; }
+    unsigned expectedLoad(TimePoint now) const;
+    /**
+     * A target that is nearly full slows down all its requests, so that filling it can lower what
+     * it finishes in a second.
+     * @return the number of requests at which the target finishes most.
+     */
+    unsigned usefulSlots() const;
     double failures(TimePoint now) const;
     unsigned slots() const { return m_slots; }
     unsigned inFlight() const { return m_inFlight; }
--- a/Source/Request/TargetSearch.cpp
+++ b/Source/Request/TargetSearch.cpp
@@ -34,8 +34,7 @@
 {
     if (m_candidates.empty())
         return RefuseStep{RefusalReason::NoUsableTarget};
-    if (const auto good = best(now, true);
-        good && m_candidates[*good].figures->cost(now) <= m_policy.goodCost)
+    if (const auto good = best(now, true); good && costOf(*good, now) <= m_policy.goodCost)
         return SendStep{*good};
     if (now < m_pauseEnd)
         return WaitStep{m_pauseEnd, true};
@@ -64,11 +63,13 @@
 {
     std::optional<std::size_t> found;
     double lowest = 0;
-    for (std::size_t i = 0; i < m_candidates.size(); ++i) {
+    // In the order of this search, so that VMs without fresh figures do not choose alike.
+    for (const auto i : m_order) {
         const auto &figures = *m_candidates[i].figures;
-        if (m_states[i] == State::Failed || (freshOnly && !figures.isFresh(now, m_policy.freshFor)))
+        if (m_states[i] == State::Failed || !hasRoom(figures, now)
+            || (freshOnly && !figures.isFresh(now, m_policy.freshFor)))
             continue;
-        const double cost = figures.cost(now);
+        const double cost = costOf(i, now);
         if (!found || cost < lowest) {
             found = i;
             lowest = cost;
@@ -80,10 +81,12 @@
 AskStep TargetSearch::askRound(TimePoint now)
 {
     AskStep step;
-    const auto size = m_askedCount == 0 ? m_policy.firstRound : m_policy.nextRound;
+    const auto round = m_askedCount == 0 ? m_policy.firstRound : m_policy.nextRound;
+    const auto size = std::min(round, m_policy.maxAsked - m_askedInPass);
     while (m_nextInOrder < m_order.size() && step.candidates.size() < size) {
         const auto i = m_order[m_nextInOrder++];
-        if (!m_candidates[i].mayAsk || m_candidates[i].figures->isFresh(now, m_policy.freshFor))
+        if (!m_candidates[i].askBudget->allows(now)
+            || m_candidates[i].figures->isFresh(now, m_policy.freshFor))
             continue;
         m_states[i] = State::Asked;
         step.candidates.push_back(i);
@@ -91,6 +94,7 @@
     // Answers of an earlier round that come late are still used, but no longer waited for.
     m_outstanding = step.candidates.size();
     m_askedCount += step.candidates.size();
+    m_askedInPass += step.candidates.size();
     m_roundEnd = now + m_policy.roundTime;
     return step;
 }
@@ -98,36 +102,47 @@
 SearchStep TargetSearch::decideAfterAll(TimePoint now)
 {
     auto choice = best(now, true);
-    if (!choice)
-        choice = best(now, false);
-    // Every target failed to answer; the figures of before are all there is.
-    if (!choice) {
+    const bool isAnyTold = std::find(m_states.begin(), m_states.end(), State::Answered)
+                           != m_states.end();
+    // Without answers, the figures of before are all there is.
+    if (!choice && !isAnyTold) {
         std::fill(m_states.begin(), m_states.end(), State::Unasked);
         choice = best(now, false);
     }
-    const double cost = m_candidates[*choice].figures->cost(now);
-    if (cost <= m_policy.acceptableCost)
+    const auto endOf = [this, now](double cost) {
+        return now + duration_cast<Duration>(m_time.work * cost);
+    };
+    if (choice && endOf(costOf(*choice, now)) <= m_time.objectiveAt)
         return SendStep{*choice};
-    if (now + m_policy.pause < m_time.giveUpAt) {
-        m_nextInOrder = 0;
-        m_pauseEnd = now + m_policy.pause;
-        return WaitStep{m_pauseEnd, true};
-    }
-    if (hasRoom(*choice) && fits(cost, now))
+    if (endOf(m_policy.goodCost) + m_policy.pause <= m_time.objectiveAt)
+        return pauseUntil(now + m_policy.pause);
+    // A service whose targets tell no load is not given up for that.
+    if (choice && !m_candidates[*choice].figures->reportAt())
         return SendStep{*choice};
     return RefuseStep{RefusalReason::QueueFull};
 }
 
-bool TargetSearch::fits(double cost, TimePoint now) const
+SearchStep TargetSearch::pauseUntil(TimePoint end)
+{
+    // The next pass goes on with the targets that this one did not ask.
+    if (m_nextInOrder >= m_order.size())
+        m_nextInOrder = 0;
+    m_askedInPass = 0;
+    std::fill(m_states.begin(), m_states.end(), State::Unasked);
+    m_outstanding = 0;
+    m_pauseEnd = end;
+    return WaitStep{m_pauseEnd, true};
+}
+
+bool TargetSearch::hasRoom(const TargetFigures &figures, TimePoint now) const
 {
-    return duration_cast<Duration>(m_time.work * cost) <= m_time.deadline - now;
+    const unsigned left = now < m_time.yieldsUntil ? 1 : 0;
+    return figures.expectedLoad(now) + left < std::max(figures.usefulSlots(), left + 1);
 }
 
-bool TargetSearch::hasRoom(std::size_t candidate) const
+double TargetSearch::costOf(std::size_t candidate, TimePoint now) const
 {
-    const auto &figures = *m_candidates[candidate].figures;
-    const auto slots = figures.slots();
-    return figures.expectedLoad() < slots + static_cast<unsigned>(slots * m_policy.maxQueueShare);
+    return m_candidates[candidate].figures->cost(now);
 }
 
 } // namespace Sapphireladder
--- a/Source/Request/TargetSearch.h
+++ b/Source/Request/TargetSearch.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Request/AskBudget.h"
 #include "Request/Reasons.h"
 #include "Request/TargetFigures.h"
 
@@ -16,8 +17,8 @@
     const TargetFigures *figures = nullptr;
     /** The target is in the VM's own availability zone. */
     bool isLocal = false;
-    /** The budget of load questions for the target allows another one. */
-    bool mayAsk = true;
+    /** Budget of load questions for the target; outlives the search. */
+    const AskBudget *askBudget = nullptr;
 };
 
 /** How a target is searched for. */
@@ -32,23 +33,21 @@
     Duration roundTime = std::chrono::milliseconds(12);
     /** Cost at which a target is taken without comparing further ones: idle and not slowed. */
     double goodCost = 1.3;
-    /** Cost up to which an answer is still expected in time. */
-    double acceptableCost = 2.0;
-    /** Time between two searches while all targets are too busy. */
+    /** Targets asked in one pass. More would use up the budget of questions in overload. */
+    std::size_t maxAsked = 9;
+    /** Time between two passes while all targets are too busy. */
     Duration pause = std::chrono::milliseconds(20);
-    /** Requests that wait at a target for each slot, above which it is not sent another one. */
-    double maxQueueShare = 0.0;
 };
 
 /** Time that one request has. */
 struct SearchTime
 {
-    /** Up to then the search waits for a better target. */
-    TimePoint giveUpAt{};
-    /** Then the request's time ends. */
-    TimePoint deadline{};
+    /** An answer up to then is in time. */
+    TimePoint objectiveAt{};
     /** Time that the request's work takes on an idle target that nothing slows. */
     Duration work{};
+    /** Up to then a slot of each target is left to more urgent requests. */
+    TimePoint yieldsUntil{};
 };
 
 /** Asks these targets for their load. */
@@ -77,8 +76,11 @@
 using SearchStep = std::variant<AskStep, SendStep, WaitStep, RefuseStep>;
 
 /**
- * Finds the target for one attempt. Load reports are older than what they report lasts, so that the
- * search asks a few targets just before sending, and takes the first that is idle and not slowed.
+ * Finds the target for one attempt. In overload, a request that can no longer be answered in time
+ * is refused unless a target is idle and not slowed: a slowed target would be busy with it for
+ * long, and other requests would be late too. Load reports are older than what they report lasts,
+ * so that the search asks a few targets just before sending, and takes the first that is idle and
+ * not slowed.
  */
 class TargetSearch
 {
@@ -112,8 +114,9 @@
     std::optional<std::size_t> best(TimePoint now, bool freshOnly) const;
     AskStep askRound(TimePoint now);
     SearchStep decideAfterAll(TimePoint now);
-    bool hasRoom(std::size_t candidate) const;
-    bool fits(double cost, TimePoint now) const;
+    SearchStep pauseUntil(TimePoint end);
+    bool hasRoom(const TargetFigures &figures, TimePoint now) const;
+    double costOf(std::size_t candidate, TimePoint now) const;
 
     const SearchPolicy &m_policy;
     std::vector<SearchCandidate> m_candidates;
@@ -123,6 +126,7 @@
     std::size_t m_nextInOrder = 0;
     std::size_t m_outstanding = 0;
     std::size_t m_askedCount = 0;
+    std::size_t m_askedInPass = 0;
     TimePoint m_roundEnd{};
     TimePoint m_pauseEnd{};
     SearchTime m_time;
--- a/Source/Version/RouteTable.cpp
+++ b/Source/Version/RouteTable.cpp
@@ -43,6 +43,11 @@
         std::set<std::string_view> prefixes;
         for (const auto &it : hosts[i].routes) {
             TRY(checkRoute(*table, it));
+            for (const auto &service : it.services) {
+                auto &urgent = table->m_mostUrgent.try_emplace(service.service, it.priority)
+                                       .first->second;
+                urgent = std::min(urgent, it.priority);
+            }
             if (!prefixes.insert(it.prefix).second)
                 return makeError(VersionError::DuplicateName, it.prefix);
         }
@@ -57,6 +62,12 @@
     return it == m_content.services.end() ? nullptr : &*it;
 }
 
+unsigned RouteTable::mostUrgentOf(const ServiceName &service) const
+{
+    const auto it = m_mostUrgent.find(service);
+    return it == m_mostUrgent.end() ? 0 : it->second;
+}
+
 const Route *RouteTable::findRoute(std::string_view host, std::string_view target) const
 {
     const auto index = m_hostIndex.find(hostKey(host));
--- a/Tests/Version/RouteTableTest.cpp
+++ b/Tests/Version/RouteTableTest.cpp
@@ -77,4 +77,14 @@
     CHECK(RouteTable::create(content).error().code == VersionError::DuplicateName);
 }
 
+// Guards against less urgent routes that leave no slot to the urgent ones of their service.
+TEST_CASE_FIXTURE(RouteTableFixture, "route table, routes of one service, tells the most urgent")
+{
+    content.hosts.front().routes.front().priority = 2;
+    content.hosts.front().routes.back().priority = 1;
+    const auto table = RouteTable::create(content);
+    CHECK(table.value()->mostUrgentOf(ServiceName("desk")) == 1);
+    CHECK(table.value()->mostUrgentOf(ServiceName("other")) == 0);
+}
+
 TEST_SUITE_END();
