Tests: Add a fault soak of gateway processes

The soak starts three gateways as processes, four targets and a store that speak the platform's protocol, and six callers with kept connections. For 4 s it kills, pauses and signals gateways, cuts, delays, silences and resets links through a loopback proxy, lets the store refuse and lose answers and the targets shed, lose and cut theirs; then all is well, the gateways are stopped and started in turn, the routes change and a target leaves. It checks whole and own answers, one run at most, "not run", the time left, losses around stops, changes and leaving within their bounds, and the end of each process.

--- /dev/null
+++ b/Tests/Soak/FaultProxy.cpp
@@ -0,0 +1,116 @@
+#include "Soak/FaultProxy.h"
+
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <array>
+
+namespace Sapphireladder::Soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/** Time between two looks whether the proxy was stopped. */
+const Poco::Timespan pollTime(0, 20000);
+/** Delay of each piece in the mode Delay. */
+constexpr Duration pieceDelay = 40ms;
+
+} // namespace
+
+FaultProxy::FaultProxy(Endpoint server)
+    : m_server(std::move(server))
+    , m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
+    , m_acceptor([this] { acceptAll(); })
+{}
+
+FaultProxy::~FaultProxy()
+{
+    m_isStopped = true;
+    m_acceptor.join();
+    for (auto &it : m_pumps)
+        it.join();
+}
+
+Endpoint FaultProxy::endpoint() const
+{
+    return {"127.0.0.1", m_socket.address().port()};
+}
+
+void FaultProxy::resetAll()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto &it : m_pairs)
+        it->isReset = true;
+}
+
+void FaultProxy::acceptAll()
+{
+    while (!m_isStopped) {
+        if (!m_socket.poll(pollTime, Poco::Net::Socket::SELECT_READ))
+            continue;
+        const auto pair = std::make_shared<Pair>();
+        try {
+            pair->client = m_socket.acceptConnection();
+            pair->server.connect(Poco::Net::SocketAddress(m_server.host, m_server.port));
+        } catch (const Poco::Exception &) {
+            continue; // The server is away; the client sees its connection end.
+        }
+        const std::lock_guard lock(m_mutex);
+        m_pairs.push_back(pair);
+        m_pumps.emplace_back([this, pair] { pump(pair); });
+    }
+}
+
+void FaultProxy::pump(const std::shared_ptr<Pair> &pair)
+{
+    try {
+        while (!m_isStopped && !pair->isReset) {
+            const auto mode = m_mode.load();
+            Poco::Net::Socket::SocketList readable;
+            Poco::Net::Socket::SocketList none;
+            Poco::Net::Socket::SocketList failed;
+            if (mode != LinkMode::Silent && mode != LinkMode::CutOneWay)
+                readable.push_back(pair->client);
+            if (mode != LinkMode::Silent)
+                readable.push_back(pair->server);
+            if (readable.empty()) {
+                std::this_thread::sleep_for(20ms);
+                continue;
+            }
+            Poco::Net::Socket::select(readable, none, failed, pollTime);
+            if (mode == LinkMode::Delay && !readable.empty())
+                std::this_thread::sleep_for(pieceDelay);
+            for (const auto &it : readable) {
+                const bool isClient = it == pair->client;
+                if (!forward(isClient ? pair->client : pair->server,
+                             isClient ? pair->server : pair->client))
+                    return;
+            }
+        }
+        if (pair->isReset) {
+            pair->client.setLinger(true, 0);
+            pair->server.setLinger(true, 0);
+            pair->client.close();
+            pair->server.close();
+        }
+    } catch (const Poco::Exception &) {
+        // One side is gone: the sockets close with the pair.
+    }
+}
+
+bool FaultProxy::forward(Poco::Net::StreamSocket &from, Poco::Net::StreamSocket &to)
+{
+    std::array<char, 16384> buf{};
+    const int size = from.receiveBytes(buf.data(), static_cast<int>(buf.size()));
+    if (size <= 0) {
+        from.close();
+        to.close();
+        return false;
+    }
+    for (int sent = 0; sent < size;)
+        sent += to.sendBytes(buf.data() + sent, size - sent);
+    return true;
+}
+
+} // namespace Sapphireladder::Soak
--- /dev/null
+++ b/Tests/Soak/FaultProxy.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "Core/Core.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace Sapphireladder::Soak {
+
+/** What a proxy does to the bytes that pass. */
+enum class LinkMode {
+    Pass,
+    Delay,
+    /** Bytes towards the server are held back, and those towards the client pass. */
+    CutOneWay,
+    /** No byte passes either way, and no connection ends. */
+    Silent,
+};
+
+/** A loopback proxy in front of one server, which harms connections from outside the programs. */
+class FaultProxy
+{
+public:
+    explicit FaultProxy(Endpoint server);
+    ~FaultProxy();
+
+    Endpoint endpoint() const;
+    void setMode(LinkMode mode) { m_mode = mode; }
+    /** Resets all open connections. */
+    void resetAll();
+
+private:
+    struct Pair
+    {
+        Poco::Net::StreamSocket client;
+        Poco::Net::StreamSocket server;
+        std::atomic<bool> isReset = false;
+    };
+
+    void acceptAll();
+    void pump(const std::shared_ptr<Pair> &pair);
+    static bool forward(Poco::Net::StreamSocket &from, Poco::Net::StreamSocket &to);
+
+    const Endpoint m_server;
+    Poco::Net::ServerSocket m_socket;
+    std::atomic<LinkMode> m_mode = LinkMode::Pass;
+    std::atomic<bool> m_isStopped = false;
+    std::mutex m_mutex;
+    std::vector<std::shared_ptr<Pair>> m_pairs;
+    std::vector<std::thread> m_pumps;
+    std::thread m_acceptor;
+};
+
+} // namespace Sapphireladder::Soak
--- /dev/null
+++ b/Tests/Soak/SoakCaller.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "Core/Core.h"
+
+#include <Poco/Net/StreamSocket.h>
+
+#include <optional>
+#include <string>
+
+namespace Sapphireladder::Soak {
+
+/** What a caller saw of one request. */
+struct CallRecord
+{
+    std::string id;
+    bool isIdempotent = false;
+    /** 0 if the connection ended without a whole answer. */
+    unsigned status = 0;
+    /** The whole request was sent before the connection ended. */
+    bool isSent = false;
+    bool isSigned = false;
+    bool isOwnAnswer = false;
+    TimePoint sentAt{};
+    TimePoint endedAt{};
+    std::string body;
+};
+
+/** A caller with one kept connection. POCO's session is not used: it sends again by itself. */
+class SoakCaller
+{
+public:
+    explicit SoakCaller(Endpoint gateway)
+        : m_gateway(std::move(gateway))
+    {}
+
+    /** Sends one request and waits for its answer. */
+    CallRecord call(const std::string &id, const std::string &path, bool isIdempotent);
+
+private:
+    bool connect();
+    void receive(CallRecord &record);
+    bool readMore(std::string &input);
+
+    const Endpoint m_gateway;
+    std::optional<Poco::Net::StreamSocket> m_socket;
+};
+
+} // namespace Sapphireladder::Soak
--- /dev/null
+++ b/Tests/Soak/SoakTest.cpp
@@ -0,0 +1,373 @@
+#include "Scenarios/ChildProcess.h"
+#include "Soak/FaultProxy.h"
+#include "Soak/SoakCaller.h"
+#include "Soak/StandinStore.h"
+#include "Soak/StandinTarget.h"
+
+#include <Poco/TemporaryFile.h>
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <fstream>
+#include <functional>
+#include <random>
+
+using namespace Sapphireladder;
+using namespace Sapphireladder::Soak;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned ok = 200;
+constexpr std::size_t gatewayCount = 3;
+constexpr std::size_t targetCount = 4;
+constexpr std::size_t callerCount = 6;
+/** Time in which faults are injected, and after which all has recovered. */
+constexpr Duration faultTime = 4s;
+constexpr Duration recoveryTime = 4s;
+/** Bounds that the settings state. */
+constexpr Duration changeBound = 2s;
+constexpr Duration stopGrace = 6s;
+/** Time after the last byte of a request in which a close that crosses it is no loss. */
+constexpr Duration lossSlack = 200ms;
+
+/** Seeds that CI runs. Seeds that ever failed are added here, with a line on the cause. */
+constexpr unsigned ciSeeds[] = {1, 2};
+
+std::uint16_t freePort()
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return socket.address().port();
+}
+
+std::string routeText(unsigned version, bool hasNewRoute)
+{
+    auto paths = nlohmann::json::array();
+    const auto add = [&](const char *name, const char *prefix, const char *kind) {
+        paths.push_back({{"name", name},
+                         {"prefix", prefix},
+                         {"kind", kind},
+                         {"timeout_ms", 2500},
+                         {"target_latency_ms", 200},
+                         {"priority", 1},
+                         {"max_attempts", 3},
+                         {"service", "desk"}});
+    };
+    add("read", "/read/", "safe");
+    add("write", "/write/", "unsafe");
+    if (hasNewRoute)
+        add("new", "/new/", "safe");
+    return nlohmann::json{
+            {"version", version},
+            {"services", {{{"name", "desk"}, {"health_path", "/health"}, {"max_conns", 220}}}},
+            {"hosts", {{{"host", "a.example"}, {"paths", paths}}}}}
+            .dump();
+}
+
+/** One gateway process, which can be started again on its addresses. */
+class SoakGateway
+{
+public:
+    SoakGateway(std::size_t i, const Endpoint &store)
+        : m_endpoint{"127.0.0.1", freePort()}
+    {
+        std::ofstream out(m_settings.path());
+        out << "vm: \"vm-" << i << "\"\nzone: \"z1\"\ncaller_endpoint: \"" << m_endpoint.toString()
+            << "\"\n";
+        for (const auto *name : {"ready_endpoint", "metrics_endpoint", "relay_endpoint"})
+            out << name << ": \"127.0.0.1:" << freePort() << "\"\n";
+        out << "platform_endpoint: \"" << store.toString()
+            << "\"\nstop_grace: \"6s\"\nchange_bound: \"2s\"\nasks_per_target: 60\n";
+        out.close();
+        start();
+    }
+
+    void start()
+    {
+        m_process.reset();
+        m_process = std::make_unique<Scenarios::ChildProcess>(
+                "/bin/sh",
+                std::vector<std::string>{"-c", "exec '" PRODUCT_PROGRAM "' gateway --settings '"
+                                                       + m_settings.path() + "' >> '" + m_log.path()
+                                                       + "' 2>&1"});
+    }
+
+    Scenarios::ChildProcess &process() { return *m_process; }
+    const Endpoint &endpoint() const { return m_endpoint; }
+    std::string log() const
+    {
+        std::ifstream in(m_log.path());
+        return {std::istreambuf_iterator<char>(in), {}};
+    }
+
+private:
+    const Endpoint m_endpoint;
+    Poco::TemporaryFile m_settings;
+    Poco::TemporaryFile m_log;
+    std::unique_ptr<Scenarios::ChildProcess> m_process;
+};
+
+/** One run: gateways, targets and store, harmed from outside while callers send. */
+class SoakRun
+{
+public:
+    explicit SoakRun(unsigned seed)
+        : m_random(seed)
+    {
+        m_store.put("op", "config", routeText(++m_version, false));
+        for (std::size_t i = 0; i < targetCount; ++i) {
+            m_targets.push_back(
+                    std::make_unique<StandinTarget>("i-" + std::to_string(i), m_ledger));
+            m_targetLinks.push_back(std::make_unique<FaultProxy>(m_targets.back()->endpoint()));
+            m_store.put("servers", m_targets[i]->id(),
+                        m_targets[i]->record(m_targetLinks[i]->endpoint(), false));
+        }
+        m_store.put("servers", "i-broken", "{\"service\": 7}");
+        for (std::size_t i = 0; i < gatewayCount; ++i)
+            m_gateways.push_back(std::make_unique<SoakGateway>(i, m_storeLink.endpoint()));
+        for (std::size_t i = 0; i < gatewayCount; ++i)
+            waitUntilServing(i);
+    }
+
+    void play()
+    {
+        for (std::size_t i = 0; i < callerCount; ++i)
+            m_callers.emplace_back([this, i] { callAll(i); });
+        harm();
+        heal();
+        m_calmFrom = SteadyClock().now();
+        rollGateways();
+        changeRoutes();
+        drainTarget();
+        m_isOver = true;
+        for (auto &it : m_callers)
+            it.join();
+        check();
+    }
+
+private:
+    std::size_t below(std::size_t n) { return m_random() % n; }
+
+    void callAll(std::size_t caller)
+    {
+        std::vector<SoakCaller> callers;
+        for (const auto &it : m_gateways)
+            callers.emplace_back(it->endpoint());
+        std::minstd_rand random(static_cast<unsigned>(caller + 1));
+        for (unsigned n = 0; !m_isOver; ++n) {
+            const bool isIdempotent = random() % 2 == 0;
+            const auto id = "c" + std::to_string(caller) + '-' + std::to_string(n);
+            auto record = callers[random() % callers.size()].call(
+                    id, isIdempotent ? "/read/x" : "/write/x", isIdempotent);
+            if (!record.isSent)
+                std::this_thread::sleep_for(20ms);
+            const std::lock_guard lock(m_mutex);
+            m_records.push_back(std::move(record));
+        }
+    }
+
+    // Faults overlap: each is undone some time after it began.
+    void harm()
+    {
+        const std::function<void(std::size_t)> faults[] = {
+                [this](auto i) { killGateway(i); },
+                [this](auto i) { pauseGateway(i); },
+                [this](auto i) { m_gateways[i]->process().signal(SIGHUP); },
+                [this](auto i) { m_targetLinks[i]->setMode(LinkMode::Delay); },
+                [this](auto i) { m_targetLinks[i]->setMode(LinkMode::CutOneWay); },
+                [this](auto i) { m_targetLinks[i]->setMode(LinkMode::Silent); },
+                [this](auto i) { m_targetLinks[i]->resetAll(); },
+                [this](auto) { m_storeLink.setMode(LinkMode::Silent); },
+                [this](auto) { m_storeLink.resetAll(); },
+                [this](auto) { m_store.setMode(StoreMode::Refusing); },
+                [this](auto) { m_store.setMode(StoreMode::AnswersLost); },
+                [this](auto i) { m_targets[i]->setFaultEvery(5); },
+                [this](auto) { m_store.put("op", "config", routeText(++m_version, false)); },
+        };
+        const auto end = SteadyClock().now() + faultTime;
+        while (SteadyClock().now() < end) {
+            faults[below(std::size(faults))](below(gatewayCount));
+            std::this_thread::sleep_for(std::chrono::milliseconds(50 + below(250)));
+            if (below(3) == 0)
+                restoreLinks();
+        }
+    }
+
+    void killGateway(std::size_t i)
+    {
+        m_gateways[i]->process().signal(SIGKILL);
+        m_gateways[i]->process().wait();
+        m_gateways[i]->start();
+    }
+
+    void pauseGateway(std::size_t i)
+    {
+        m_gateways[i]->process().signal(SIGSTOP);
+        std::this_thread::sleep_for(std::chrono::milliseconds(100 + below(500)));
+        m_gateways[i]->process().signal(SIGCONT);
+    }
+
+    void restoreLinks()
+    {
+        for (const auto &it : m_targetLinks)
+            it->setMode(LinkMode::Pass);
+        m_storeLink.setMode(LinkMode::Pass);
+        m_store.setMode(StoreMode::Well);
+    }
+
+    void heal()
+    {
+        restoreLinks();
+        for (const auto &it : m_targets)
+            it->setFaultEvery(0);
+        std::this_thread::sleep_for(recoveryTime);
+        for (std::size_t i = 0; i < gatewayCount; ++i)
+            waitUntilServing(i);
+    }
+
+    bool isServing(std::size_t i, const std::string &path)
+    {
+        SoakCaller caller(m_gateways[i]->endpoint());
+        return caller.call("probe-" + std::to_string(++m_probes), path, true).status == ok;
+    }
+
+    void waitUntilServing(std::size_t i)
+    {
+        const auto end = SteadyClock().now() + 10s;
+        while (!isServing(i, "/read/x")) {
+            REQUIRE(SteadyClock().now() < end);
+            std::this_thread::sleep_for(20ms);
+        }
+    }
+
+    void rollGateways()
+    {
+        for (std::size_t i = 0; i < gatewayCount; ++i) {
+            auto &process = m_gateways[i]->process();
+            const auto begin = SteadyClock().now();
+            process.signal(SIGTERM);
+            CHECK(process.wait() == 0);
+            CHECK(SteadyClock().now() - begin <= stopGrace);
+            m_gateways[i]->start();
+            waitUntilServing(i);
+        }
+    }
+
+    void changeRoutes()
+    {
+        m_store.put("op", "config", routeText(++m_version, true));
+        std::this_thread::sleep_for(changeBound);
+        for (std::size_t i = 0; i < gatewayCount; ++i)
+            CHECK(isServing(i, "/new/x"));
+    }
+
+    void drainTarget()
+    {
+        m_store.put("servers", m_targets[0]->id(),
+                    m_targets[0]->record(m_targetLinks[0]->endpoint(), true));
+        std::this_thread::sleep_for(changeBound);
+        m_targets[0]->setDrained();
+        std::this_thread::sleep_for(1s);
+    }
+
+    void check()
+    {
+        std::map<unsigned, std::size_t> calm;
+        for (const auto &it : m_records) {
+            CAPTURE(it.id);
+            CAPTURE(it.status);
+            checkAnswer(it);
+            if (it.sentAt < m_calmFrom || !it.isSent)
+                continue;
+            ++calm[it.status];
+            checkNotLost(it);
+        }
+        std::size_t sum = 0;
+        std::string ends;
+        for (const auto &[status, n] : calm) {
+            sum += n;
+            ends += std::to_string(status) + ": " + std::to_string(n) + ' ';
+        }
+        CAPTURE(ends);
+        // Callers are served while gateways roll one after the other and a target leaves.
+        CHECK(calm[ok] > 0);
+        CHECK(calm[ok] * 10 >= sum * 9);
+        for (const auto &it : m_ledger.faults())
+            FAIL_CHECK(it);
+        if (std::getenv("SAPPHIRELADDER_SOAK_LOGS"))
+            for (const auto &it : m_gateways)
+                MESSAGE(it->log());
+    }
+
+    void checkAnswer(const CallRecord &record)
+    {
+        const auto runs = m_ledger.runsOf(record.id);
+        if (record.status == ok) {
+            CHECK(record.isSigned);
+            CHECK(record.isOwnAnswer);
+            CHECK(record.body == answerBody(record.id));
+        }
+        if (record.isIdempotent)
+            return;
+        CHECK(runs <= 1);
+        constexpr unsigned promises[] = {408, 421, 429, 503};
+        for (const auto status : promises)
+            CHECK((record.status != status || runs == 0));
+    }
+
+    void checkNotLost(const CallRecord &record)
+    {
+        if (record.status != 0)
+            return;
+        CHECK(m_ledger.runsOf(record.id) == 0);
+        CHECK(record.endedAt - record.sentAt <= lossSlack);
+    }
+
+    std::minstd_rand m_random;
+    RunLedger m_ledger;
+    StandinStore m_store;
+    FaultProxy m_storeLink{m_store.endpoint()};
+    unsigned m_version = 0;
+    unsigned m_probes = 0;
+    std::vector<std::unique_ptr<StandinTarget>> m_targets;
+    std::vector<std::unique_ptr<FaultProxy>> m_targetLinks;
+    std::vector<std::unique_ptr<SoakGateway>> m_gateways;
+    std::vector<std::thread> m_callers;
+    std::mutex m_mutex;
+    std::vector<CallRecord> m_records;
+    std::atomic<bool> m_isOver = false;
+    TimePoint m_calmFrom{};
+};
+
+} // namespace
+
+TEST_SUITE_BEGIN("Soak");
+
+struct SoakFixture
+{
+    static unsigned setting(const char *name, unsigned standard)
+    {
+        const char *text = std::getenv(name);
+        return text ? static_cast<unsigned>(std::strtoul(text, nullptr, 10)) : standard;
+    }
+};
+
+// Guards against promises that hold only while nothing else goes wrong.
+TEST_CASE_FIXTURE(SoakFixture, "gateways, random faults from outside, keep the promises")
+{
+    const auto runs = setting("SAPPHIRELADDER_SOAK_RUNS", 0);
+    const auto first = setting("SAPPHIRELADDER_SOAK_SEED", 1);
+    std::vector<unsigned> seeds(std::begin(ciSeeds), std::end(ciSeeds));
+    if (runs > 0)
+        seeds.clear();
+    for (unsigned i = 0; i < runs; ++i)
+        seeds.push_back(first + i);
+    for (const auto seed : seeds) {
+        CAPTURE(seed);
+        SoakRun(seed).play();
+    }
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/Tests/Soak/StandinStore.cpp
@@ -0,0 +1,118 @@
+#include "Soak/StandinStore.h"
+
+#include <Poco/Base64Decoder.h>
+#include <Poco/Base64Encoder.h>
+#include <Poco/Net/HTMLForm.h>
+#include <Poco/StreamCopier.h>
+
+#include <sstream>
+
+namespace Sapphireladder::Soak {
+
+namespace {
+
+std::string toBase64(const std::string &bytes)
+{
+    std::ostringstream out;
+    Poco::Base64Encoder encoder(out);
+    encoder.rdbuf()->setLineLength(0);
+    encoder << bytes;
+    encoder.close();
+    return out.str();
+}
+
+std::string fromBase64(const std::string &text)
+{
+    std::istringstream in(text);
+    Poco::Base64Decoder decoder(in);
+    std::string bytes;
+    Poco::StreamCopier::copyToString(decoder, bytes);
+    return bytes;
+}
+
+} // namespace
+
+StandinStore::StandinStore()
+    : m_server({"127.0.0.1", 0}, [this](Testbed::HttpExchangeContext &it) { handle(it); })
+{}
+
+void StandinStore::put(const std::string &table, const std::string &key, const std::string &value)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tables[table][key] = {value, ++m_version, false};
+    }
+    m_changed.notify_all();
+}
+
+void StandinStore::remove(const std::string &table, const std::string &key)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tables[table][key] = {{}, ++m_version, true};
+    }
+    m_changed.notify_all();
+}
+
+void StandinStore::handle(Testbed::HttpExchangeContext &context)
+{
+    constexpr unsigned ok = 200;
+    constexpr unsigned unavailable = 503;
+    if (m_mode == StoreMode::Refusing) {
+        Testbed::sendAnswer(context.response, unavailable, "{}");
+        return;
+    }
+    const Poco::Net::HTMLForm query(context.request);
+    const auto path = context.request.getURI();
+    nlohmann::json answer = {{"ver", m_version}};
+    if (path.starts_with("/rows-tx")) {
+        transact(Testbed::readBody(context.request));
+    } else if (path.starts_with("/rows-get")) {
+        answer = read(query.get("table"));
+    } else {
+        const std::chrono::milliseconds wait(std::stoul(query.get("wait_ms")));
+        answer = feed(query.get("table"), std::stoull(query.get("after")), wait);
+    }
+    if (m_mode == StoreMode::AnswersLost)
+        Testbed::resetConnection(context);
+    else
+        Testbed::sendAnswer(context.response, ok, answer.dump());
+}
+
+nlohmann::json StandinStore::read(const std::string &table)
+{
+    const std::lock_guard lock(m_mutex);
+    auto rows = nlohmann::json::array();
+    for (const auto &[key, row] : m_tables[table]) {
+        if (!row.isDeleted)
+            rows.push_back({{"key", key}, {"value", toBase64(row.value)}, {"ver", row.version}});
+    }
+    return {{"rows", rows}, {"ver", m_version}, {"truncated", false}};
+}
+
+nlohmann::json StandinStore::feed(const std::string &table, std::uint64_t after, Duration wait)
+{
+    std::unique_lock lock(m_mutex);
+    auto rows = nlohmann::json::array();
+    const auto collect = [&] {
+        for (const auto &[key, row] : m_tables[table]) {
+            if (row.version > after)
+                rows.push_back({{"key", key},
+                                {"value", toBase64(row.value)},
+                                {"ver", row.version},
+                                {"deleted", row.isDeleted}});
+        }
+        return !rows.empty();
+    };
+    m_changed.wait_for(lock, wait, collect);
+    return {{"rows", rows}, {"ver", m_version}};
+}
+
+void StandinStore::transact(const std::string &body)
+{
+    const auto object = nlohmann::json::parse(body);
+    for (const auto &it : object["puts"])
+        put(it["table"], it["key"], fromBase64(it["value"]));
+}
+
+} // namespace Sapphireladder::Soak
--- /dev/null
+++ b/Tests/Soak/StandinStore.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "Testbed/Testbed.h"
+
+#include <nlohmann/json.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+
+namespace Sapphireladder::Soak {
+
+/** How the stand-in of the platform's store answers. */
+enum class StoreMode {
+    Well,
+    /** Refuses every call with 503. */
+    Refusing,
+    /** Carries calls out and resets the connection instead of answering. */
+    AnswersLost,
+};
+
+/** A stand-in of the platform's store: rows with versions, and a feed that wakes on changes. */
+class StandinStore
+{
+public:
+    StandinStore();
+
+    Endpoint endpoint() const { return m_server.endpoint(); }
+    void setMode(StoreMode mode) { m_mode = mode; }
+    /** Writes a row as the operator or a target does. */
+    void put(const std::string &table, const std::string &key, const std::string &value);
+    void remove(const std::string &table, const std::string &key);
+
+private:
+    struct Row
+    {
+        std::string value;
+        std::uint64_t version = 0;
+        bool isDeleted = false;
+    };
+
+    void handle(Testbed::HttpExchangeContext &context);
+    nlohmann::json read(const std::string &table);
+    nlohmann::json feed(const std::string &table, std::uint64_t after, Duration wait);
+    void transact(const std::string &body);
+
+    std::atomic<StoreMode> m_mode = StoreMode::Well;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::uint64_t m_version = 1;
+    std::map<std::string, std::map<std::string, Row>> m_tables;
+    Testbed::HttpStandin m_server;
+};
+
+} // namespace Sapphireladder::Soak
--- /dev/null
+++ b/Tests/Soak/StandinTarget.cpp
@@ -0,0 +1,128 @@
+#include "Soak/StandinTarget.h"
+
+#include <nlohmann/json.hpp>
+
+#include <thread>
+
+namespace Sapphireladder::Soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr unsigned ok = 200;
+constexpr unsigned misdirected = 421;
+constexpr unsigned unavailable = 503;
+/** Time that the work of a request takes. */
+constexpr Duration workTime = 8ms;
+/** Start of the targets; any fixed time will do. */
+constexpr std::uint64_t born = 1780946659019;
+
+} // namespace
+
+void RunLedger::recordRun(const std::string &request)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_runs[request];
+}
+
+void RunLedger::recordFault(const std::string &fault)
+{
+    const std::lock_guard lock(m_mutex);
+    m_faults.push_back(fault);
+}
+
+unsigned RunLedger::runsOf(const std::string &request)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto it = m_runs.find(request);
+    return it == m_runs.end() ? 0 : it->second;
+}
+
+std::vector<std::string> RunLedger::faults()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_faults;
+}
+
+std::string answerBody(const std::string &request)
+{
+    return request + std::string(2000, '.') + request;
+}
+
+StandinTarget::StandinTarget(std::string id, RunLedger &ledger)
+    : m_id(std::move(id))
+    , m_ledger(ledger)
+    , m_server({"127.0.0.1", 0}, [this](Testbed::HttpExchangeContext &it) { handle(it); })
+{}
+
+std::string StandinTarget::record(const Endpoint &address, bool isDraining) const
+{
+    return nlohmann::json{{"service", "desk"},
+                          {"address", address.toString()},
+                          {"zone", "z1"},
+                          {"version", "v1"},
+                          {"slots", 6},
+                          {"state", isDraining ? "draining" : "ready"},
+                          {"warmup_left_ms", 0},
+                          {"born", born},
+                          {"seq", 1}}
+            .dump();
+}
+
+void StandinTarget::handle(Testbed::HttpExchangeContext &context)
+{
+    auto &request = context.request;
+    auto &response = context.response;
+    response.set("Instance-Id", m_id);
+    response.set("Server-Load", "1,0,6,100");
+    if (request.getURI() == "/health") {
+        Testbed::sendAnswer(response, ok, {});
+        return;
+    }
+    const auto id = request.get("Attempt-Id", {});
+    response.set("Attempt-Id", id);
+    Testbed::readBody(request);
+    if (request.get("Expect-Instance", m_id) != m_id) {
+        response.set("Not-Executed", "1");
+        Testbed::sendAnswer(response, misdirected, {});
+        return;
+    }
+    if (id.empty())
+        m_ledger.recordFault("a request without id ran");
+    if (!request.has("Deadline-Ms"))
+        m_ledger.recordFault("request " + id + " came without the time left");
+    if (m_isDrained)
+        m_ledger.recordFault("request " + id + " reached " + m_id + " after it drained");
+    run(context, id);
+}
+
+void StandinTarget::run(Testbed::HttpExchangeContext &context, const std::string &request)
+{
+    enum Fault { Shed, Lost, Cut, Count };
+    const unsigned n = ++m_count;
+    const unsigned every = m_faultEvery;
+    const auto fault = every > 0 && n % every == 0 ? Fault(n / every % Count) : Count;
+    if (fault == Shed) {
+        context.response.set("Not-Executed", "1");
+        Testbed::sendAnswer(context.response, unavailable, {});
+        return;
+    }
+    m_ledger.recordRun(request);
+    std::this_thread::sleep_for(workTime);
+    const auto body = answerBody(request);
+    if (fault == Lost) {
+        Testbed::resetConnection(context);
+    } else if (fault == Cut) {
+        Testbed::sendRaw(context, "HTTP/1.1 200 OK\r\nAttempt-Id: " + request
+                                          + "\r\nServer-Signature: s\r\nContent-Length: "
+                                          + std::to_string(body.size()) + "\r\n\r\n"
+                                          + body.substr(0, body.size() / 2));
+        Testbed::closeConnection(context);
+    } else {
+        context.response.set("Server-Signature", "s");
+        Testbed::sendAnswer(context.response, ok, body);
+    }
+}
+
+} // namespace Sapphireladder::Soak
