Relay: Call a store that is down less often, and finish what was begun

While both tables fail, one of them now asks for both, and the VMs of a relayed fleet, other than its readers, wait up to 2 s.

Two faults seen while reading the last change: a search that waits for room could send to a target that began to leave meanwhile, and a request whose first attempt failed was refused when it could only be late. The target is looked at again before the send; repeated attempts have the time up to the deadline.

The soak ended with an abort when a check failed, since its callers were still running; they are joined now.

--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -82,8 +82,11 @@
         m_services[it.service].push_back(entry.upstream);
         entries.emplace(it.id, std::move(entry));
     }
-    for (const auto &[id, entry] : m_entries)
+    for (const auto &[id, entry] : m_entries) {
+        // Requests that wait for room may still hold it as a candidate.
+        entry.upstream->setDraining(true);
         entry.upstream->closeIdle();
+    }
     m_entries = std::move(entries);
     for (auto &[name, budget] : m_budgets)
         budget.setPolicy(repeatPolicy());
--- a/Source/Process/Loop/PlatformSession.cpp
+++ b/Source/Process/Loop/PlatformSession.cpp
@@ -37,6 +37,13 @@
 constexpr Duration settleTime = 2s;
 /** Time between two looks at links and followers. */
 constexpr Duration superviseInterval = 250ms;
+/** Longest time between two calls of a store that fails. */
+constexpr Duration retryDelay = 1s;
+/**
+ * The same for a VM of a large fleet, since all of them call when the store is down. Within 3 s of
+ * the store's return every VM has to know what changed.
+ */
+constexpr Duration manyRetryDelay = 2s;
 /** Share of the bound on changes for which changes may gather at the store. */
 constexpr double gatherShare = 0.25;
 
@@ -60,6 +67,7 @@
     , m_isFirstStart(settings.isFirstStart)
     , m_linkDelay(firstLinkDelay)
 {
+    m_followers.front().yieldTo(m_followers.back());
     m_mirror.setChangeHandler([this] { m_server.answerWaiting(); });
 }
 
@@ -101,6 +109,8 @@
 {
     // One table that is asked often proves for both that the store is reached.
     m_followers.back().setWait(isReader ? readerWait : ownWait);
+    const bool isOneOfMany = !isReader && m_plan.fleetSize() >= RelayPlan::minFleet;
+    m_followers.back().setLongestRetryDelay(isOneOfMany ? manyRetryDelay : retryDelay);
     if (!isFollowing())
         m_followingSince = m_context.clock.now();
     for (auto &it : m_followers) {
--- a/Source/Process/Loop/TableFollower.cpp
+++ b/Source/Process/Loop/TableFollower.cpp
@@ -13,7 +13,8 @@
 constexpr Duration longWait = 10s;
 /** Wait after a failed call, doubled with each further failure up to the longest. */
 constexpr Duration firstRetryDelay = 100ms;
-constexpr Duration longestRetryDelay = 1000ms;
+/** Time between two looks whether the other follower reaches the store again. */
+constexpr Duration yieldInterval = 250ms;
 
 } // namespace
 
@@ -63,7 +64,9 @@
     if (!m_isRunning)
         return;
     m_isBusy = true;
-    if (needsRead())
+    if (isFailing() && m_other && m_other->isFailing())
+        callAfter(yieldInterval);
+    else if (needsRead())
         readPage();
     else
         awaitChanges();
@@ -140,7 +143,7 @@
     m_feed.dependencyFailed(dependencyOf(m_table), error);
     const auto doubled = firstRetryDelay * (1U << std::min(m_failures, 5U));
     ++m_failures;
-    const auto delay = std::min<Duration>(doubled, longestRetryDelay);
+    const auto delay = std::min<Duration>(doubled, m_longestRetryDelay);
     // VMs that failed together do not come back together.
     callAfter(duration_cast<Duration>(delay * (0.75 + m_random.unit() / 2)));
 }
--- a/Source/Process/Loop/TableFollower.h
+++ b/Source/Process/Loop/TableFollower.h
@@ -27,6 +27,10 @@
     bool isFailing() const { return m_failures > 0; }
     /** @param wait time that the store may hold back an answer without changes */
     void setWait(Duration wait) { m_wait = wait; }
+    /** @param delay longest time between two calls while they fail */
+    void setLongestRetryDelay(Duration delay) { m_longestRetryDelay = delay; }
+    /** While calls of this and of the other follower fail, only the other one calls. */
+    void yieldTo(const TableFollower &other) { m_other = &other; }
     /** @return when the store last answered since the start, or nothing. */
     std::optional<TimePoint> answeredAt() const { return m_answeredAt; }
 
@@ -52,6 +56,8 @@
     LoopTimer m_timer;
     RandomSource m_random = RandomSource::fromSystem();
     Duration m_wait;
+    Duration m_longestRetryDelay = std::chrono::seconds(1);
+    const TableFollower *m_other = nullptr;
     bool m_isRunning = false;
     /** A call or a timer for one is out. */
     bool m_isBusy = false;
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -87,7 +87,8 @@
 SearchTime ProxyExchange::searchTime() const
 {
     SearchTime time{m_deadline, m_host.expectedWork(*m_route), m_request.arrivedAt};
-    if (m_route->latencyObjective > Duration::zero())
+    // What was begun is finished late rather than given up.
+    if (m_route->latencyObjective > Duration::zero() && m_attempts == 0)
         time.objectiveAt = std::min(m_deadline,
                                     m_request.arrivedAt + m_route->latencyObjective - callerWay);
     const auto spare = time.objectiveAt - m_request.arrivedAt - time.work;
@@ -140,7 +141,11 @@
     const auto upstream = m_candidates[step.candidate];
     m_waitTimer.cancel();
     m_search.reset();
-    send(upstream);
+    // The target may have begun to leave while the search waited for room.
+    if (upstream->isUsable())
+        send(upstream);
+    else
+        findTarget();
 }
 
 void ProxyExchange::perform(const RefuseStep &step)
--- a/Tests/Process/FleetRelayTest.cpp
+++ b/Tests/Process/FleetRelayTest.cpp
@@ -305,6 +305,24 @@
     CHECK(countFailures() <= size);
 }
 
+// Guards against a whole fleet that calls a store which is down each second.
+TEST_CASE_FIXTURE(FleetRelayFixture, "fleet relay, store is down, VMs call seldom and come back")
+{
+    run(5s);
+    const auto calls = rows.calls;
+    for (const auto &it : vms)
+        it->store.setCutOff(true);
+    run(8s);
+    // Two calls at once, and then one each 1.5 s.
+    CHECK(rows.calls - calls <= size * (2 + 5 + 3) + readers * readerCalls);
+    for (const auto &it : vms)
+        it->store.setCutOff(false);
+    forgetChanges();
+    rows.put("target");
+    run(3s);
+    CHECK(told() == size);
+}
+
 // Guards against a VM that starts again and reads from the store what others know.
 TEST_CASE_FIXTURE(FleetRelayFixture, "fleet relay, VM starts again, hears everything from others")
 {
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -131,6 +131,10 @@
             waitUntilServing(i);
     }
 
+    SoakRun(const SoakRun &) = delete;
+    SoakRun &operator=(const SoakRun &) = delete;
+    ~SoakRun() { stopCallers(); }
+
     void play()
     {
         for (std::size_t i = 0; i < callerCount; ++i)
@@ -141,13 +145,19 @@
         rollGateways();
         changeRoutes();
         drainTarget();
+        stopCallers();
+        check();
+    }
+
+private:
+    void stopCallers()
+    {
         m_isOver = true;
         for (auto &it : m_callers)
             it.join();
-        check();
+        m_callers.clear();
     }
 
-private:
     std::size_t below(std::size_t n) { return m_random() % n; }
 
     void callAll(std::size_t caller)
