Overload: Fill all slots, and yield with long work only

Changed: a target has room while it has a free slot; a less urgent request leaves a slot only if its work is twice that of the most urgent route.

--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -18,6 +18,8 @@
 constexpr Duration callerWay = 20ms;
 /** Part of the time to spare in which a request leaves slots to more urgent ones. */
 constexpr double yieldShare = 0.7;
+/** Multiple of an urgent request's work from which other work keeps a slot from several of them. */
+constexpr int longWorkFactor = 2;
 /** Time until a caller that was refused comes back, as a share of the route's latency objective. */
 constexpr double comeBackShare = 0.5;
 /** Bounds of the time until a refused caller comes back. */
@@ -92,7 +94,10 @@
         time.objectiveAt = std::min(m_deadline,
                                     m_request.arrivedAt + m_route->latencyObjective - callerWay);
     const auto spare = time.objectiveAt - m_request.arrivedAt - time.work;
-    if (m_routes->mostUrgentOf(m_service) < m_route->priority && spare > Duration::zero())
+    const auto *urgent = m_routes->mostUrgentOf(m_service);
+    const bool yields = urgent && urgent->priority < m_route->priority
+                        && time.work >= m_host.expectedWork(*urgent) * longWorkFactor;
+    if (yields && spare > Duration::zero())
         time.yieldsUntil += duration_cast<Duration>(spare * yieldShare);
     return time;
 }
--- a/Source/Request/TargetFigures.cpp
+++ b/Source/Request/TargetFigures.cpp
@@ -46,16 +46,6 @@
     m_reportAt.reset();
 }
 
-unsigned TargetFigures::usefulSlots() const
-{
-    unsigned useful = 1;
-    for (unsigned n = 2; n <= m_slots; ++n) {
-        if (n / loadSlowdown(n, m_slots) > useful / loadSlowdown(useful, m_slots))
-            useful = n;
-    }
-    return useful;
-}
-
 double TargetFigures::cost(TimePoint now) const
 {
     const auto load = expectedLoad(now) + 1;
--- a/Source/Request/TargetFigures.h
+++ b/Source/Request/TargetFigures.h
@@ -67,12 +67,6 @@
     double cost(TimePoint now) const;
     /** @return requests expected at the target, in work and waiting. */
     unsigned expectedLoad(TimePoint now) const;
-    /**
-     * A target that is nearly full slows down all its requests, so that filling it can lower what
-     * it finishes in a second.
-     * @return the number of requests at which the target finishes most.
-     */
-    unsigned usefulSlots() const;
     double failures(TimePoint now) const;
     unsigned slots() const { return m_slots; }
     unsigned inFlight() const { return m_inFlight; }
--- a/Source/Request/TargetSearch.cpp
+++ b/Source/Request/TargetSearch.cpp
@@ -137,7 +137,7 @@
 bool TargetSearch::hasRoom(const TargetFigures &figures, TimePoint now) const
 {
     const unsigned left = now < m_time.yieldsUntil ? 1 : 0;
-    return figures.expectedLoad(now) + left < std::max(figures.usefulSlots(), left + 1);
+    return figures.expectedLoad(now) + left < std::max(figures.slots(), left + 1);
 }
 
 double TargetSearch::costOf(std::size_t candidate, TimePoint now) const
--- a/Source/Version/RouteTable.cpp
+++ b/Source/Version/RouteTable.cpp
@@ -44,9 +44,9 @@
         for (const auto &it : hosts[i].routes) {
             TRY(checkRoute(*table, it));
             for (const auto &service : it.services) {
-                auto &urgent = table->m_mostUrgent.try_emplace(service.service, it.priority)
-                                       .first->second;
-                urgent = std::min(urgent, it.priority);
+                auto &urgent = table->m_mostUrgent.try_emplace(service.service, &it).first->second;
+                if (it.priority < urgent->priority)
+                    urgent = &it;
             }
             if (!prefixes.insert(it.prefix).second)
                 return makeError(VersionError::DuplicateName, it.prefix);
@@ -62,10 +62,10 @@
     return it == m_content.services.end() ? nullptr : &*it;
 }
 
-unsigned RouteTable::mostUrgentOf(const ServiceName &service) const
+const Route *RouteTable::mostUrgentOf(const ServiceName &service) const
 {
     const auto it = m_mostUrgent.find(service);
-    return it == m_mostUrgent.end() ? 0 : it->second;
+    return it == m_mostUrgent.end() ? nullptr : it->second;
 }
 
 const Route *RouteTable::findRoute(std::string_view host, std::string_view target) const
--- a/Source/Version/RouteTable.h
+++ b/Source/Version/RouteTable.h
@@ -94,8 +94,8 @@
      * @return the route with the longest prefix that begins the path, or null.
      */
     const Route *findRoute(std::string_view host, std::string_view target) const;
-    /** @return the lowest priority number of the routes that name the service. */
-    unsigned mostUrgentOf(const ServiceName &service) const;
+    /** @return the route with the lowest priority number that names the service, or null. */
+    const Route *mostUrgentOf(const ServiceName &service) const;
 
 private:
     explicit RouteTable(RouteTableContent content);
@@ -103,8 +103,8 @@
     RouteTableContent m_content;
     /** Index of each host by its name in lower case. */
     std::unordered_map<std::string, std::size_t> m_hostIndex;
-    /** Lowest priority number of each service's routes. */
-    std::unordered_map<ServiceName, unsigned> m_mostUrgent;
+    /** Most urgent route of each service. */
+    std::unordered_map<ServiceName, const Route *> m_mostUrgent;
 };
 
 } // namespace Sapphireladder
--- /dev/null
+++ b/Tests/Connection/CallerSessionTest.cpp
@@ -0,0 +1,148 @@
+#include "Connection/Loop/ConnectionLoop.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Connection");
+
+/** One caller's connection on the loopback address, and a handler that answers when told to. */
+struct CallerSessionFixture
+{
+    class Handler final : public RequestHandler
+    {
+    public:
+        class Pending final : public PendingRequestHandle
+        {
+        public:
+            explicit Pending(bool &isCancelled)
+                : m_isCancelled(isCancelled)
+            {}
+            void cancel() override { m_isCancelled = true; }
+
+        private:
+            bool &m_isCancelled;
+        };
+
+        std::shared_ptr<PendingRequestHandle> handle(CallerRequest, ReplyHandler reply) override
+        {
+            waiting = std::move(reply);
+            return std::make_shared<Pending>(isCancelled);
+        }
+        void inputRefused(RefusalReason) override {}
+        const RequestLimits &limits() const override { return requestLimits; }
+        bool isStopping() const override { return stops; }
+
+        void answer()
+        {
+            if (const auto reply = std::exchange(waiting, nullptr))
+                reply({Answer{200, {}, "whole"}, {}});
+        }
+
+        RequestLimits requestLimits;
+        ReplyHandler waiting;
+        bool isCancelled = false;
+        bool stops = false;
+    };
+
+    class Registry final : public SessionRegistry
+    {
+    public:
+        void sessionEnded(const std::shared_ptr<CallerSession> &) override { isEnded = true; }
+        bool isEnded = false;
+    };
+
+    CallerSessionFixture()
+    {
+        boost::asio::ip::tcp::acceptor acceptor(io, {boost::asio::ip::address_v4::loopback(), 0});
+        client.connect(acceptor.local_endpoint());
+        session = std::make_shared<CallerSession>(context, acceptor.accept(), handler, registry);
+        session->start();
+    }
+
+    void send()
+    {
+        static constexpr std::string_view request = "GET /p/ HTTP/1.1\r\nHost: a\r\n\r\n";
+        boost::asio::write(client, boost::asio::buffer(request));
+    }
+
+    void run()
+    {
+        io.restart();
+        io.run_for(50ms);
+    }
+
+    /** @return what has arrived at the caller, and whether the connection has ended. */
+    std::pair<std::string, bool> received()
+    {
+        std::string text;
+        boost::system::error_code ec;
+        client.non_blocking(true, ec);
+        std::array<char, 4096> buf{};
+        while (const auto n = client.read_some(boost::asio::buffer(buf), ec))
+            text.append(buf.data(), n);
+        return {text, ec == boost::asio::error::eof};
+    }
+
+    boost::asio::io_context io;
+    SteadyClock clock;
+    LoopContext context{io, clock};
+    Handler handler;
+    Registry registry;
+    TcpSocket client{io};
+    std::shared_ptr<CallerSession> session;
+};
+
+// Guards against a request that is lost since the connection is closed as idle before the loop has
+// read it (kanchferat-gw grown, scale-2 --seed 624195622673).
+TEST_CASE_FIXTURE(CallerSessionFixture, "caller session, request arrived unread, is served")
+{
+    send();
+    session->closeIfIdle();
+    run();
+    REQUIRE(handler.waiting);
+    handler.answer();
+    run();
+    CHECK(received().first.ends_with("whole"));
+}
+
+TEST_CASE_FIXTURE(CallerSessionFixture, "caller session, idle connection, is closed on demand")
+{
+    session->closeIfIdle();
+    run();
+    CHECK(received().second);
+}
+
+// Guards against a stop that cuts off a request which a target works on.
+TEST_CASE_FIXTURE(CallerSessionFixture, "caller session, stop during a request, answers and closes")
+{
+    send();
+    run();
+    handler.stops = true;
+    session->closeIfIdle();
+    run();
+    CHECK_FALSE(received().second);
+    handler.answer();
+    run();
+    const auto [text, isEnded] = received();
+    CHECK(text.ends_with("whole"));
+    CHECK(isEnded);
+}
+
+// Guards against targets that work for a caller who has left.
+TEST_CASE_FIXTURE(CallerSessionFixture, "caller session, caller leaves, cancels its request")
+{
+    send();
+    run();
+    REQUIRE(handler.waiting);
+    client.close();
+    run();
+    CHECK(handler.isCancelled);
+    CHECK(registry.isEnded);
+}
+
+TEST_SUITE_END();
