--- a/Source/Request/TargetSearch.cpp
+++ b/Source/Request/TargetSearch.cpp
@@ -139,10 +139,15 @@
 
 bool TargetSearch::areSlotsScarce(TimePoint now) const
 {
-    return std::any_of(m_candidates.begin(), m_candidates.end(), [this, now](const auto &it) {
-        return it.figures->isFresh(now, m_policy.freshFor)
-               && it.figures->expectedLoad(now) >= it.figures->slots();
-    });
+    bool isAnyFresh = false;
+    for (const auto &it : m_candidates) {
+        if (!it.figures->isFresh(now, m_policy.freshFor))
+            continue;
+        if (2 * it.figures->expectedLoad(now) >= it.figures->slots())
+            return true;
+        isAnyFresh = true;
+    }
+    return !isAnyFresh;
 }
 
 bool TargetSearch::hasRoom(const TargetFigures &figures, TimePoint now) const
--- a/Source/Request/TargetSearch.h
+++ b/Source/Request/TargetSearch.h
@@ -79,10 +79,10 @@
 
 /**
  * Finds the target for one attempt. In overload, a request that can no longer be answered in time
- * is refused if slots are scarce, unless a target is idle and not slowed: a slowed target would be
- * busy with it for long, and other requests would be late too. Load reports are older than what
- * they report lasts, so that the search asks a few targets just before sending, and takes the first
- * that is idle and not slowed.
+ * is refused if any target is half full, unless a target is idle and not slowed: a slowed target
+ * would be busy with it for long, and other requests would be late too. Load reports are older than
+ * what they report lasts, so that the search asks a few targets just before sending, and takes the
+ * first that is idle and not slowed.
  */
 class TargetSearch
 {
@@ -117,7 +117,7 @@
     AskStep askRound(TimePoint now);
     SearchStep decideAfterAll(TimePoint now);
     SearchStep pauseUntil(TimePoint end);
-    /** @return whether a target that told its load lately has no free slot. */
+    /** @return whether a target is half full, or none told its load lately. */
     bool areSlotsScarce(TimePoint now) const;
     bool hasRoom(const TargetFigures &figures, TimePoint now) const;
     double costOf(std::size_t candidate, TimePoint now) const;
