Loop, Process: One copy of shared code, and the store followed by a rule

VM edge-kolkata-dc-3 is cut off one way until 10.9 s; its call for the targets, made after a failure, is held back by the store until 15.5 s, and the routes, which waited for it, follow at 15.7 s, 4 s after version 6. Ruled out: the relay, since the fleet of 15 does not use it.

The mechanism that let one table wait for the other is changed: it polled four times a second and had no end. A follower that yields now goes on at the other one's answer, and calls by itself after 5 s, since a store may lose one table only. A follower that starts again is no more taken for failing, which made a VM that was asked refuse at once.

Base64 stood three times, one copy without errors; timers with weak owners three times; reads, framing of bodies and stop signals twice.

--- a/Source/Connection/Loop/AnswerReader.cpp
+++ b/Source/Connection/Loop/AnswerReader.cpp
@@ -26,19 +26,6 @@
     return std::chrono::seconds(std::min<std::uint64_t>(seconds.value(), 3600));
 }
 
-BodyEnd bodyEndOf(FramingKind kind)
-{
-    switch (kind) {
-    case FramingKind::Length:
-        return BodyEnd::Length;
-    case FramingKind::Chunked:
-        return BodyEnd::Chunked;
-    case FramingKind::None:
-        break;
-    }
-    return BodyEnd::Close;
-}
-
 } // namespace
 
 AnswerReader::AnswerReader(bool isBodyless, std::size_t bodyLimit)
@@ -77,7 +64,7 @@
         m_answer.headers.push_back({name, value});
     const bool hasNoBody = m_isBodyless || m_answer.status == noContent
                            || m_answer.status == notModified;
-    const auto end = hasNoBody ? BodyEnd::None : bodyEndOf(framing->kind);
+    const auto end = hasNoBody ? BodyEnd::None : bodyEndOf(framing->kind, BodyEnd::Close);
     m_body = BodyDecoder(end, framing->length, m_bodyLimit);
     m_keepsConnection = Sapphireladder::keepsConnection(head) && end != BodyEnd::Close;
     m_idleTimeout = statedIdleTimeout(head);
--- a/Source/Connection/Loop/BodyDecoder.cpp
+++ b/Source/Connection/Loop/BodyDecoder.cpp
@@ -124,4 +124,17 @@
     return m_body.size() + m_remaining > m_limit ? ReadProgress::TooLarge : ReadProgress::NeedMore;
 }
 
+BodyEnd bodyEndOf(FramingKind kind, BodyEnd unframed)
+{
+    switch (kind) {
+    case FramingKind::Length:
+        return BodyEnd::Length;
+    case FramingKind::Chunked:
+        return BodyEnd::Chunked;
+    case FramingKind::None:
+        break;
+    }
+    return unframed;
+}
+
 } // namespace Sapphireladder
--- a/Source/Connection/Loop/BodyDecoder.h
+++ b/Source/Connection/Loop/BodyDecoder.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Core/Core.h"
+#include "Request/Http/RequestHttp.h"
 
 #include <cstdint>
 #include <string>
@@ -18,6 +18,9 @@
     Close,
 };
 
+/** @return what ends a body of that framing. @param unframed the end of one without framing */
+BodyEnd bodyEndOf(FramingKind kind, BodyEnd unframed);
+
 /** How far a message has been read. */
 enum class ReadProgress : std::uint8_t {
     NeedMore,
--- a/Source/Connection/Loop/CallerSession.cpp
+++ b/Source/Connection/Loop/CallerSession.cpp
@@ -31,7 +31,7 @@
     boost::system::error_code ec;
     m_socket.non_blocking(true, ec);
     setSocketOptions(m_socket, callerSilenceLimit);
-    startTimer(m_handler.limits().idleTimeout);
+    callAfter(m_timer, weak_from_this(), m_handler.limits().idleTimeout, &CallerSession::timedOut);
     waitForInput();
 }
 
@@ -65,13 +65,13 @@
 void CallerSession::receive()
 {
     boost::system::error_code ec;
-    const auto size = m_socket.read_some(boost::asio::buffer(m_context.receiveBuffer), ec);
-    if (ec && ec != boost::asio::error::would_block) {
+    const auto arrived = readArrived(m_context, m_socket, ec);
+    if (ec) {
         close();
         return;
     }
     if (m_state != State::Lingering)
-        m_input.append(m_context.receiveBuffer.data(), size);
+        m_input += arrived;
     if (m_state == State::Reading)
         processInput();
     if (m_state == State::Closed)
@@ -89,7 +89,7 @@
         const auto &limits = m_handler.limits();
         m_reader.emplace(limits.headBytes, limits.bodyBytes);
         m_arrivedAt = m_context.clock.now();
-        startTimer(limits.headTimeout);
+        callAfter(m_timer, weak_from_this(), limits.headTimeout, &CallerSession::timedOut);
     }
     std::string_view input = m_input;
     const auto progress = m_reader->feed(input);
@@ -147,7 +147,7 @@
 {
     m_state = State::Writing;
     m_output = std::move(bytes);
-    startTimer(callerSilenceLimit);
+    callAfter(m_timer, weak_from_this(), callerSilenceLimit, &CallerSession::timedOut);
     boost::asio::async_write(
             m_socket, boost::asio::buffer(m_output),
             [self = shared_from_this()](const auto &ec, std::size_t) { self->written(ec); });
@@ -167,7 +167,7 @@
         return;
     }
     m_state = State::Reading;
-    startTimer(m_handler.limits().idleTimeout);
+    callAfter(m_timer, weak_from_this(), m_handler.limits().idleTimeout, &CallerSession::timedOut);
     processInput();
     if (std::exchange(m_isPaused, false) && m_state != State::Closed)
         waitForInput();
@@ -181,22 +181,11 @@
     // The kernel would reset a connection that is closed with unread input, and the reset can
     // destroy the last answer.
     m_socket.shutdown(TcpSocket::shutdown_send, ec);
-    startTimer(lingerTime);
+    callAfter(m_timer, weak_from_this(), lingerTime, &CallerSession::timedOut);
     if (std::exchange(m_isPaused, false))
         waitForInput();
 }
 
-void CallerSession::startTimer(Duration timeout)
-{
-    m_timer.expires_after(timeout);
-    m_timer.async_wait([weak = weak_from_this()](const auto &ec) {
-        const auto self = weak.lock();
-        // A timer that was set again may still deliver its former end.
-        if (self && !ec && self->m_timer.expiry() <= LoopTimer::clock_type::now())
-            self->timedOut();
-    });
-}
-
 void CallerSession::timedOut()
 {
     if (m_state == State::Reading && m_reader)
--- a/Source/Connection/Loop/CallerSession.h
+++ b/Source/Connection/Loop/CallerSession.h
@@ -91,7 +91,6 @@
     void write(std::string bytes);
     void written(const boost::system::error_code &ec);
     void linger();
-    void startTimer(Duration timeout);
     void timedOut();
     void close();
 
--- a/Source/Connection/Loop/LoopContext.cpp
+++ b/Source/Connection/Loop/LoopContext.cpp
@@ -1,5 +1,7 @@
 #include "Connection/Loop/ConnectionLoop.h"
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/ip/address.hpp>
 
 #include <netinet/tcp.h>
@@ -41,4 +43,12 @@
         ::setsockopt(socket.native_handle(), it.level, it.name, &it.value, sizeof it.value);
 }
 
+std::string_view readArrived(LoopContext &context, TcpSocket &socket, boost::system::error_code &ec)
+{
+    const auto size = socket.read_some(boost::asio::buffer(context.receiveBuffer), ec);
+    if (ec == boost::asio::error::would_block)
+        ec.clear();
+    return {context.receiveBuffer.data(), size};
+}
+
 } // namespace Sapphireladder
--- a/Source/Connection/Loop/LoopContext.h
+++ b/Source/Connection/Loop/LoopContext.h
@@ -6,8 +6,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <algorithm>
 #include <array>
+#include <memory>
 #include <optional>
+#include <string_view>
 
 namespace Sapphireladder {
 
@@ -35,4 +38,28 @@
  */
 void setSocketOptions(TcpSocket &socket, Duration silenceLimit);
 
+/**
+ * Reads what has arrived, without waiting.
+ * @param ec set if the connection has ended
+ * @return the bytes, which stand in the context's buffer until the next read.
+ */
+std::string_view readArrived(LoopContext &context, TcpSocket &socket,
+                             boost::system::error_code &ec);
+
+/**
+ * Calls a member function after a delay, unless the object is gone or the timer was set again.
+ * @param timer a member of the object
+ */
+template<typename T>
+void callAfter(LoopTimer &timer, std::weak_ptr<T> object, Duration delay, void (T::*handler)())
+{
+    timer.expires_after(std::max(Duration::zero(), delay));
+    timer.async_wait([object = std::move(object), handler, &timer](const auto &ec) {
+        const auto self = object.lock();
+        // A timer that was set again may still deliver its former end.
+        if (self && !ec && timer.expiry() <= LoopTimer::clock_type::now())
+            ((*self).*handler)();
+    });
+}
+
 } // namespace Sapphireladder
--- a/Source/Connection/Loop/RequestReader.cpp
+++ b/Source/Connection/Loop/RequestReader.cpp
@@ -16,19 +16,6 @@
         "Transfer-Encoding", "Upgrade",    "Content-Length",   "Expect",
 };
 
-BodyEnd bodyEndOf(FramingKind kind)
-{
-    switch (kind) {
-    case FramingKind::Length:
-        return BodyEnd::Length;
-    case FramingKind::Chunked:
-        return BodyEnd::Chunked;
-    case FramingKind::None:
-        break;
-    }
-    return BodyEnd::None;
-}
-
 } // namespace
 
 bool isConnectionField(std::string_view name)
@@ -76,7 +63,7 @@
     }
     m_wantsContinue = framing->kind != FramingKind::None
                       && hasToken(head, "Expect", "100-continue");
-    m_body = BodyDecoder(bodyEndOf(framing->kind), framing->length, m_bodyLimit);
+    m_body = BodyDecoder(bodyEndOf(framing->kind, BodyEnd::None), framing->length, m_bodyLimit);
     m_hasHead = true;
     return ReadProgress::Complete;
 }
--- a/Source/Connection/Loop/UpstreamConnection.cpp
+++ b/Source/Connection/Loop/UpstreamConnection.cpp
@@ -23,7 +23,7 @@
         m_socket.non_blocking(true, ec);
         setSocketOptions(m_socket, silenceLimit);
     }
-    startTimer(connectTimeout);
+    callAfter(m_timer, weak_from_this(), connectTimeout, &UpstreamConnection::timedOut);
     m_socket.async_connect(endpoint,
                            [self = shared_from_this()](const auto &error) { self->opened(error); });
 }
@@ -58,7 +58,9 @@
     m_isSent = false;
     m_hadForeignAnswer = false;
     m_reader.emplace(m_request->isBodyless, m_request->bodyLimit);
-    startTimer(std::max(Duration::zero(), *m_deadline - m_context.clock.now()));
+    callAfter(m_timer, weak_from_this(),
+              std::max(Duration::zero(), *m_deadline - m_context.clock.now()),
+              &UpstreamConnection::timedOut);
     boost::asio::async_write(m_socket, boost::asio::buffer(m_request->bytes),
                              [self = shared_from_this()](const auto &ec, std::size_t size) {
                                  self->requestSent(ec, size);
@@ -86,13 +88,13 @@
 void UpstreamConnection::receive()
 {
     boost::system::error_code ec;
-    const auto size = m_socket.read_some(boost::asio::buffer(m_context.receiveBuffer), ec);
-    if (ec && ec != boost::asio::error::would_block) {
+    const auto arrived = readArrived(m_context, m_socket, ec);
+    if (ec) {
         peerEnded(ec);
         return;
     }
-    if (size > 0)
-        handleInput({m_context.receiveBuffer.data(), size});
+    if (!arrived.empty())
+        handleInput(arrived);
     if (m_state != State::Closed)
         waitForInput();
 }
@@ -167,17 +169,6 @@
           {}});
 }
 
-void UpstreamConnection::startTimer(Duration timeout)
-{
-    m_timer.expires_after(timeout);
-    m_timer.async_wait([weak = weak_from_this()](const auto &ec) {
-        const auto self = weak.lock();
-        // A timer that was set again may still deliver its former end.
-        if (self && !ec && self->m_timer.expiry() <= LoopTimer::clock_type::now())
-            self->timedOut();
-    });
-}
-
 void UpstreamConnection::timedOut()
 {
     if (m_state == State::Connecting)
--- a/Source/Connection/Loop/UpstreamConnection.h
+++ b/Source/Connection/Loop/UpstreamConnection.h
@@ -75,7 +75,6 @@
     void handleInput(std::string_view input);
     void peerEnded(const boost::system::error_code &ec);
     void answerComplete(std::string_view rest);
-    void startTimer(Duration timeout);
     void timedOut();
     void fail(AttemptResult result);
     void finish(AttemptResult result);
--- a/Source/Core/CoreError.h
+++ b/Source/Core/CoreError.h
@@ -9,6 +9,7 @@
     InvalidEndpoint = 1,
     InvalidNumber,
     InvalidDuration,
+    BadBase64,
 };
 
 std::error_code make_error_code(CoreError error);
--- a/Source/Main/CommandLine.cpp
+++ b/Source/Main/CommandLine.cpp
@@ -3,12 +3,12 @@
 #include "Main/AdminClient.h"
 #include "Main/Arguments.h"
 #include "Main/GatewayProcess.h"
+#include "Main/StopSignals.h"
 #include "Main/VmProcess.h"
 #include "Process/Yaml/ProcessYaml.h"
 
 #include <nlohmann/json.hpp>
 
-#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <optional>
@@ -62,25 +62,6 @@
     return preset.has_value();
 }
 
-/** Waits for SIGTERM or SIGINT. Both must be blocked in all threads. */
-void waitForStopSignal(const sigset_t &signals)
-{
-    int number = 0;
-    sigwait(&signals, &number);
-}
-
-sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    // A peer that closes early must not end the process.
-    std::signal(SIGPIPE, SIG_IGN);
-    return signals;
-}
-
 cxxopts::Options adminOptions(const std::string &command, const std::string &help)
 {
     cxxopts::Options options("sapphireladder " + command, help);
@@ -177,13 +158,13 @@
         return ExitCode::Usage;
     EventLog::initialize("sapphireladder");
     EventLog events;
-    const auto signals = blockStopSignals();
+    blockStopSignals();
     auto process = VmProcess::create(*settings, events);
     if (!process) {
         std::cerr << process.error().toString() << '\n';
         return ExitCode::Unavailable;
     }
-    waitForStopSignal(signals);
+    waitForStopSignal();
     process.value()->stop();
     return ExitCode::Success;
 }
--- a/Source/Process/Http/ClaimRowCodec.cpp
+++ b/Source/Process/Http/ClaimRowCodec.cpp
@@ -1,41 +1,14 @@
+#include "Core/Encoding/CoreEncoding.h"
 #include "Process/Http/ProcessHttp.h"
 
-#include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
-#include <Poco/Exception.h>
-#include <Poco/StreamCopier.h>
-
 #include <nlohmann/json.hpp>
 
-#include <sstream>
-
 namespace Sapphireladder {
 
 namespace {
 
 using nlohmann::json;
 
-std::string encodeBase64(const std::string &bytes)
-{
-    std::ostringstream out;
-    Poco::Base64Encoder encoder(out);
-    encoder.rdbuf()->setLineLength(0);
-    encoder << bytes;
-    encoder.close();
-    return out.str();
-}
-
-std::string decodeBase64(const std::string &text)
-{
-    std::istringstream in(text);
-    Poco::Base64Decoder decoder(in);
-    std::string bytes;
-    Poco::StreamCopier::copyToString(decoder, bytes);
-    if (decoder.bad())
-        throw Poco::DataFormatException("base64");
-    return bytes;
-}
-
 json toJson(const RecordedAnswer &answer)
 {
     json object = {{"status", answer.status}, {"content_type", answer.contentType}};
@@ -44,24 +17,30 @@
     return object;
 }
 
-RecordedAnswer answerFromJson(const json &object)
+Result<RecordedAnswer> answerFromJson(const json &object)
 {
     RecordedAnswer answer;
     answer.status = object.at("status").get<unsigned>();
     answer.contentType = object.at("content_type").get<std::string>();
-    if (object.contains("body"))
-        answer.body = decodeBase64(object.at("body").get<std::string>());
+    if (object.contains("body")) {
+        auto body = decodeBase64(object.at("body").get<std::string>());
+        if (!body)
+            return makeError(ProcessError::StoreAnswerInvalid, "body in a claim row");
+        answer.body = std::move(body.value());
+    }
     return answer;
 }
 
-Claim claimFromJson(const json &object)
+Result<Claim> claimFromJson(const json &object)
 {
     Claim claim;
     claim.id = ClaimId(object.at("claim").get<std::string>());
     claim.fingerprint = ContentDigest(object.at("fingerprint").get<std::string>());
     claim.vm = VmId(object.at("vm").get<std::string>());
-    if (object.contains("answer"))
-        claim.answer = answerFromJson(object.at("answer"));
+    if (object.contains("answer")) {
+        TRY_ASSIGN(answer, answerFromJson(object.at("answer")));
+        claim.answer = std::move(answer);
+    }
     return claim;
 }
 
@@ -84,8 +63,6 @@
         return claimFromJson(json::parse(text));
     } catch (const json::exception &) {
         return makeError(ProcessError::StoreAnswerInvalid, "claim row");
-    } catch (const Poco::Exception &) {
-        return makeError(ProcessError::StoreAnswerInvalid, "body in a claim row");
     }
 }
 
--- a/Source/Process/Loop/PlatformSession.cpp
+++ b/Source/Process/Loop/PlatformSession.cpp
@@ -19,22 +19,8 @@
 constexpr Duration readerWait = 1200ms;
 /** Age of the newest answer of the store up to which a VM may speak for it. */
 constexpr Duration closeAge = 1600ms;
-/** Time for the first word of other VMs, before a VM that has just started follows the store. */
-constexpr Duration firstWordTime = 700ms;
-/** The same if all VMs start: the others count the fleet up to 1 s later. */
-constexpr Duration firstStartWordTime = 2s;
 /** Time for the first answers of the store, before a VM that others ask counts as cut off. */
 constexpr Duration closeStartTime = 1s;
-/** Time for which a VM that was asked follows the store. VMs ask about each second. */
-constexpr Duration askedTime = 2500ms;
-/** Bounds of the time until another VM is asked after one failed, doubled with each failure. */
-constexpr Duration firstLinkDelay = 20ms;
-constexpr Duration longestLinkDelay = 250ms;
-/** Age of the newest word of other VMs up to which this VM needs no store. They speak each second.
- */
-constexpr Duration fedAge = 1600ms;
-/** Time for which links must have told changes before the VM stops following the store. */
-constexpr Duration settleTime = 2s;
 /** Time between two looks at links and followers. */
 constexpr Duration superviseInterval = 250ms;
 /** Longest time between two calls of a store that fails. */
@@ -65,7 +51,6 @@
     , m_fleetTimer(context.io)
     , m_superviseTimer(context.io)
     , m_isFirstStart(settings.isFirstStart)
-    , m_linkDelay(firstLinkDelay)
 {
     m_followers.front().yieldTo(m_followers.back());
     m_mirror.setChangeHandler([this] { m_server.answerWaiting(); });
@@ -91,7 +76,11 @@
             m_feed,
             table,
             duration_cast<Duration>(changeBound * gatherShare),
-            [this] { tellIfClose(); }};
+            [this, table] {
+                if (table == RowTable::Targets)
+                    m_followers.front().resume();
+                tellIfClose();
+            }};
 }
 
 void PlatformSession::stop()
@@ -143,7 +132,7 @@
 
 void PlatformSession::asked()
 {
-    m_askedUntil = m_context.clock.now() + askedTime;
+    m_followRule.asked(m_context.clock.now());
     follow(true);
 }
 
@@ -163,17 +152,11 @@
            && now - *m_followers.back().answeredAt() <= closeAge;
 }
 
-bool PlatformSession::isFed() const
-{
-    return m_lastWordAt && m_context.clock.now() - *m_lastWordAt <= fedAge;
-}
-
 void PlatformSession::noteWords()
 {
-    // Kept beside the links: a VM that turns to another source is not cut off meanwhile.
     for (const auto &it : m_links) {
         if (it->answeredAt())
-            m_lastWordAt = std::max(m_lastWordAt.value_or(*it->answeredAt()), *it->answeredAt());
+            m_followRule.heard(*it->answeredAt());
     }
 }
 
@@ -216,8 +199,7 @@
     m_feed.changesComplete();
     callAfter(countInterval, &PlatformSession::countFleet);
     if (!std::exchange(m_isCounted, true))
-        m_firstWordUntil = m_context.clock.now()
-                           + (m_isFirstStart ? firstStartWordTime : firstWordTime);
+        m_followRule.begin(m_isFirstStart, m_context.clock.now());
     listSelfIfMissing(members.value());
     if (m_plan.fleetSize() >= RelayPlan::minFleet)
         supervise();
@@ -238,20 +220,22 @@
 {
     const auto now = m_context.clock.now();
     const auto role = m_plan.role(now);
+    // Before links are replaced: a VM that turns to another source is not cut off meanwhile.
     noteWords();
     openLinks(role);
-    if (!isFed())
-        m_fedSince.reset();
-    else if (!m_fedSince)
-        m_fedSince = now;
-    if (m_fedSince)
-        m_linkDelay = firstLinkDelay;
-    if (role.isReader || now < m_askedUntil)
-        follow(true);
-    else if (m_fedSince && now - *m_fedSince >= settleTime)
+    switch (m_followRule.decide(role.isReader, now)) {
+    case FollowMode::Keep:
+        break;
+    case FollowMode::Leave:
         leaveStore();
-    else if (!m_fedSince && now >= m_firstWordUntil)
+        break;
+    case FollowMode::Follow:
         follow(false);
+        break;
+    case FollowMode::FollowClosely:
+        follow(true);
+        break;
+    }
     tellIfClose();
     logRole(role);
     superviseAfter(superviseInterval);
@@ -283,8 +267,7 @@
     m_plan.recordFailure(member.vm, m_context.clock.now());
     m_events.record(EventId::RelayLinkFailed, {{"source", member.vm.string()}});
     // Not from here: the link that failed is still at work.
-    superviseAfter(m_linkDelay);
-    m_linkDelay = std::min(m_linkDelay * 2, longestLinkDelay);
+    superviseAfter(m_followRule.linkFailed());
 }
 
 void PlatformSession::logRole(const RelayRole &role)
--- a/Source/Process/Loop/PlatformSession.h
+++ b/Source/Process/Loop/PlatformSession.h
@@ -34,7 +34,6 @@
     TableFollower makeFollower(PlatformStore &store, RowTable table, Duration changeBound);
     bool isFollowingClosely() const;
     bool isFollowing() const;
-    bool isFed() const;
     void noteWords();
     void tellIfClose();
     void listSelf();
@@ -59,25 +58,16 @@
     std::array<TableFollower, rowTableCount> m_followers;
     RelayServer m_server;
     RelayPlan m_plan;
+    FollowRule m_followRule;
     std::vector<std::shared_ptr<RelayLink>> m_links;
     LoopTimer m_fleetTimer;
     LoopTimer m_superviseTimer;
     RandomSource m_random = RandomSource::fromSystem();
-    /** When a link last told changes. */
-    std::optional<TimePoint> m_lastWordAt;
-    /** Since when the links have told changes without a gap. */
-    std::optional<TimePoint> m_fedSince;
-    /** Until then the links may start to tell, before the store is followed. */
-    TimePoint m_firstWordUntil{};
     /** This VM has to list itself before it counts the fleet for the first time. */
-    bool m_isFirstStart;
+    const bool m_isFirstStart;
     bool m_isCounted = false;
-    /** Other VMs ask this one; it follows the store up to this time at least. */
-    TimePoint m_askedUntil{};
     /** Since when the VM follows the store without a stop. */
     TimePoint m_followingSince{};
-    /** Time until another VM is asked after one failed. */
-    Duration m_linkDelay{};
     bool m_wasClose = false;
     std::string m_loggedRole;
 };
--- a/Source/Process/Loop/TableFollower.cpp
+++ b/Source/Process/Loop/TableFollower.cpp
@@ -13,8 +13,6 @@
 constexpr Duration longWait = 10s;
 /** Wait after a failed call, doubled with each further failure up to the longest. */
 constexpr Duration firstRetryDelay = 100ms;
-/** Time between two looks whether the other follower reaches the store again. */
-constexpr Duration yieldInterval = 250ms;
 
 } // namespace
 
@@ -36,6 +34,7 @@
 {
     m_isRunning = true;
     m_answeredAt.reset();
+    m_failures = 0;
     if (!m_isBusy)
         callNext();
 }
@@ -44,16 +43,26 @@
 {
     m_isRunning = false;
     m_isBusy = false;
-    ++m_stops;
+    m_hasYielded = false;
+    ++m_generation;
     m_timer.cancel();
     m_pages.clear();
 }
 
+void TableFollower::resume()
+{
+    if (!std::exchange(m_hasYielded, false))
+        return;
+    ++m_generation;
+    m_timer.cancel();
+    callNext();
+}
+
 PlatformStore::RowsHandler
 TableFollower::handlerFor(void (TableFollower::*handler)(Result<SourceRows>))
 {
-    return [this, handler, stops = m_stops](Result<SourceRows> rows) {
-        if (stops == m_stops)
+    return [this, handler, generation = m_generation](Result<SourceRows> rows) {
+        if (generation == m_generation)
             (this->*handler)(std::move(rows));
     };
 }
@@ -61,12 +70,11 @@
 void TableFollower::callNext()
 {
     m_isBusy = false;
+    m_hasYielded = false;
     if (!m_isRunning)
         return;
     m_isBusy = true;
-    if (isFailing() && m_other && m_other->isFailing())
-        callAfter(yieldInterval);
-    else if (needsRead())
+    if (needsRead())
         readPage();
     else
         awaitChanges();
@@ -143,9 +151,10 @@
 void TableFollower::callFailed(const Error &error)
 {
     m_feed.dependencyFailed(dependencyOf(m_table), error);
+    m_hasYielded = m_other && m_other->isFailing();
     const auto doubled = firstRetryDelay * (1U << std::min(m_failures, 5U));
     ++m_failures;
-    const auto delay = std::min<Duration>(doubled, m_longestRetryDelay);
+    const auto delay = m_hasYielded ? yieldTime : std::min<Duration>(doubled, m_longestRetryDelay);
     // VMs that failed together do not come back together.
     callAfter(duration_cast<Duration>(delay * (0.75 + m_random.unit() / 2)));
 }
@@ -153,8 +162,8 @@
 void TableFollower::callAfter(Duration delay)
 {
     m_timer.expires_after(delay);
-    m_timer.async_wait([this, stops = m_stops](const auto &ec) {
-        if (!ec && stops == m_stops)
+    m_timer.async_wait([this, generation = m_generation](const auto &ec) {
+        if (!ec && generation == m_generation)
             callNext();
     });
 }
--- a/Source/Process/Loop/TableFollower.h
+++ b/Source/Process/Loop/TableFollower.h
@@ -14,6 +14,9 @@
     /** Called after each answer of the store. */
     using AnswerHandler = std::function<void()>;
 
+    /** Time between calls of a follower that yields. The store may have lost one table only. */
+    static constexpr Duration yieldTime = std::chrono::seconds(5);
+
     /** The references outlive the follower. */
     TableFollower(LoopContext &context, PlatformStore &store, RowMirror &mirror, PlatformFeed &feed,
                   RowTable table, Duration gatherTime, AnswerHandler answered);
@@ -29,8 +32,13 @@
     void setWait(Duration wait) { m_wait = wait; }
     /** @param delay longest time between two calls while they fail */
     void setLongestRetryDelay(Duration delay) { m_longestRetryDelay = delay; }
-    /** While calls of this and of the other follower fail, only the other one calls. */
+    /**
+     * While calls of the other follower fail too, this one calls seldom: both reach one store, and
+     * the other one's answer says that it is back.
+     */
     void yieldTo(const TableFollower &other) { m_other = &other; }
+    /** The other follower was answered: goes on at once if this one yielded. */
+    void resume();
     /** @return when the store last answered since the start, or nothing. */
     std::optional<TimePoint> answeredAt() const { return m_answeredAt; }
 
@@ -61,8 +69,10 @@
     bool m_isRunning = false;
     /** A call or a timer for one is out. */
     bool m_isBusy = false;
-    /** Counts the stops, so that answers to calls of before are known. */
-    std::uint64_t m_stops = 0;
+    /** Waits for the other follower's answer. */
+    bool m_hasYielded = false;
+    /** Counts stops and resumptions, so that answers and timers of before are known. */
+    std::uint64_t m_generation = 0;
     /** Changes since the known position can't be had any more. */
     bool m_isHistoryGone = false;
     std::vector<SourceRow> m_pages;
--- a/Source/Process/Process.h
+++ b/Source/Process/Process.h
@@ -12,6 +12,7 @@
 #include "Process/FleetControl.h"
 #include "Process/FleetSnapshot.h"
 #include "Process/FleetStatus.h"
+#include "Process/FollowRule.h"
 #include "Process/GatewayControl.h"
 #include "Process/GatewaySettings.h"
 #include "Process/GatewaySnapshot.h"
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -66,7 +66,8 @@
     const auto choice = m_host.splitOf(*m_route).choose(m_route->services);
     m_service = m_route->services[choice].service;
     m_host.retryTokens(m_service).recordFirstAttempt();
-    startTimer(m_deadlineTimer, m_deadline, &ProxyExchange::deadlinePassed);
+    callAfter(m_deadlineTimer, weak_from_this(), m_deadline - m_host.context().clock.now(),
+              &ProxyExchange::deadlinePassed);
     findTarget();
 }
 
@@ -112,8 +113,8 @@
 
 void ProxyExchange::perform(const AskStep &step)
 {
-    startTimer(m_waitTimer, m_host.context().clock.now() + m_host.searchPolicy().roundTime,
-               &ProxyExchange::continueSearch);
+    callAfter(m_waitTimer, weak_from_this(), m_host.searchPolicy().roundTime,
+              &ProxyExchange::continueSearch);
     for (const auto i : step.candidates) {
         m_candidates[i]->ask(
                 [weak = weak_from_this(), i, upstream = m_candidates[i].get()](bool isAnswered) {
@@ -138,7 +139,8 @@
                                {{"request", m_terms.id.string()},
                                 {"route", m_route->name},
                                 {"asked", std::to_string(m_search->asked())}});
-    startTimer(m_waitTimer, step.until, &ProxyExchange::continueSearch);
+    callAfter(m_waitTimer, weak_from_this(), step.until - m_host.context().clock.now(),
+              &ProxyExchange::continueSearch);
 }
 
 void ProxyExchange::perform(const SendStep &step)
@@ -426,15 +428,4 @@
                                    {"ms", milliseconds(latency)}});
 }
 
-void ProxyExchange::startTimer(LoopTimer &timer, TimePoint time, void (ProxyExchange::*handler)())
-{
-    timer.expires_after(std::max(Duration::zero(), time - m_host.context().clock.now()));
-    timer.async_wait([weak = weak_from_this(), handler, &timer](const auto &ec) {
-        const auto self = weak.lock();
-        // A timer that was set again may still deliver its former end.
-        if (self && !ec && timer.expiry() <= LoopTimer::clock_type::now())
-            ((*self).*handler)();
-    });
-}
-
 } // namespace Sapphireladder
--- a/Source/Request/Loop/ProxyExchange.h
+++ b/Source/Request/Loop/ProxyExchange.h
@@ -52,7 +52,6 @@
     std::vector<HeaderField> replyFields(const RequestOutcome &outcome);
     void logSent(const Attempt &attempt) const;
     void logEnd(const RequestOutcome &outcome) const;
-    void startTimer(LoopTimer &timer, TimePoint time, void (ProxyExchange::*handler)());
 
     TrafficHost &m_host;
     const CallerRequest m_request;
--- a/Testbed/Main.cpp
+++ b/Testbed/Main.cpp
@@ -1,35 +1,15 @@
+#include "Main/StopSignals.h"
 #include "Testbed/Testbed.h"
 
 #include <cxxopts.hpp>
 
 #include <algorithm>
-#include <csignal>
 #include <iostream>
 
 namespace {
 
 using namespace Sapphireladder;
 
-void waitForStop()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    int number = 0;
-    sigwait(&signals, &number);
-}
-
-void blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-}
-
 /** @return the arguments with "--service-time" written as "--service_time", as in JSON. */
 std::vector<std::string> withFieldNames(std::span<const char *const> arguments)
 {
@@ -92,7 +72,7 @@
     target.name = parsed["name"].as<std::string>();
     TRY(readFields(target.behaviour, Testbed::targetFields(), parsed));
     const Testbed::Target standin(target);
-    waitForStop();
+    waitForStopSignal();
     return success();
 }
 
@@ -106,7 +86,7 @@
     Testbed::PlatformFaults faults;
     TRY(readFields(faults, Testbed::platformFields(), parsed));
     const Testbed::Platform standin(endpoint, faults);
-    waitForStop();
+    waitForStopSignal();
     return success();
 }
 
--- a/Tests/CheckIncludes.cmake
+++ b/Tests/CheckIncludes.cmake
@@ -1,5 +1,5 @@
 # Fails if decision code includes a codec, transport or log library, or a front end.
-set(forbidden "#include [<\"](Poco/|grpc|google/|yaml-cpp|nlohmann/|glog/|[A-Za-z]+/(Http|Grpc|Yaml|Io)/)")
+set(forbidden "#include [<\"](Poco/|grpc|google/|yaml-cpp|nlohmann/|glog/|[A-Za-z]+/(Http|Grpc|Yaml|Io|Encoding)/)")
 set(checked 0)
 foreach(folder Core Version Request Connection Process)
     file(GLOB sources ${SOURCE_FOLDER}/${folder}/*.h ${SOURCE_FOLDER}/${folder}/*.cpp)
--- /dev/null
+++ b/Tests/Request/AskBudgetTest.cpp
@@ -0,0 +1,39 @@
+#include "Request/Request.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Request");
+
+struct AskBudgetFixture
+{
+    ManualClock clock;
+    AskBudget budget{clock.now()};
+
+    unsigned takeAll()
+    {
+        unsigned n = 0;
+        for (; budget.allows(clock.now()); ++n)
+            budget.take(clock.now());
+        return n;
+    }
+};
+
+// Guards against a target that is measured more than it allows, over all VMs together.
+TEST_CASE_FIXTURE(AskBudgetFixture, "ask budget, any time, allows no more than its rate and burst")
+{
+    AskPolicy policy;
+    policy.perSecond = 0.3;
+    budget.setPolicy(policy);
+    unsigned n = takeAll();
+    for (int i = 0; i < 400; ++i) {
+        clock.advance(100ms);
+        n += takeAll();
+    }
+    CHECK(n <= 1 + 12 + 3);
+    CHECK(n >= 12);
+}
+
+TEST_SUITE_END();
--- /dev/null
+++ b/Tests/Request/SplitChooserTest.cpp
@@ -0,0 +1,33 @@
+#include "Request/Request.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Request");
+
+struct SplitChooserFixture
+{
+    std::vector<WeightedService> services{{ServiceName("a"), 90}, {ServiceName("b"), 10}};
+    SplitChooser chooser{0.5};
+};
+
+// Guards against shares that are far from the weights when a VM sees few requests.
+TEST_CASE_FIXTURE(SplitChooserFixture, "split chooser, few requests, keeps close to the weights")
+{
+    unsigned second = 0;
+    for (int i = 0; i < 50; ++i)
+        second += chooser.choose(services) == 1 ? 1 : 0;
+    CHECK(second >= 4);
+    CHECK(second <= 6);
+}
+
+TEST_CASE_FIXTURE(SplitChooserFixture, "split chooser, weight of zero, gets nothing")
+{
+    services.front().weight = 0;
+    for (int i = 0; i < 50; ++i)
+        CHECK(chooser.choose(services) == 1);
+}
+
+TEST_SUITE_END();
--- a/Tests/Soak/StandinStore.cpp
+++ b/Tests/Soak/StandinStore.cpp
@@ -1,37 +1,11 @@
 #include "Soak/StandinStore.h"
 
-#include <Poco/Base64Decoder.h>
-#include <Poco/Base64Encoder.h>
-#include <Poco/Net/HTMLForm.h>
-#include <Poco/StreamCopier.h>
+#include "Core/Encoding/CoreEncoding.h"
 
-#include <sstream>
+#include <Poco/Net/HTMLForm.h>
 
 namespace Sapphireladder::Soak {
 
-namespace {
-
-std::string toBase64(const std::string &bytes)
-{
-    std::ostringstream out;
-    Poco::Base64Encoder encoder(out);
-    encoder.rdbuf()->setLineLength(0);
-    encoder << bytes;
-    encoder.close();
-    return out.str();
-}
-
-std::string fromBase64(const std::string &text)
-{
-    std::istringstream in(text);
-    Poco::Base64Decoder decoder(in);
-    std::string bytes;
-    Poco::StreamCopier::copyToString(decoder, bytes);
-    return bytes;
-}
-
-} // namespace
-
 StandinStore::StandinStore()
     : m_server({"127.0.0.1", 0}, [this](Testbed::HttpExchangeContext &it) { handle(it); })
 {}
@@ -85,7 +59,8 @@
     auto rows = nlohmann::json::array();
     for (const auto &[key, row] : m_tables[table]) {
         if (!row.isDeleted)
-            rows.push_back({{"key", key}, {"value", toBase64(row.value)}, {"ver", row.version}});
+            rows.push_back(
+                    {{"key", key}, {"value", encodeBase64(row.value)}, {"ver", row.version}});
     }
     return {{"rows", rows}, {"ver", m_version}, {"truncated", false}};
 }
@@ -98,7 +73,7 @@
         for (const auto &[key, row] : m_tables[table]) {
             if (row.version > after)
                 rows.push_back({{"key", key},
-                                {"value", toBase64(row.value)},
+                                {"value", encodeBase64(row.value)},
                                 {"ver", row.version},
                                 {"deleted", row.isDeleted}});
         }
@@ -112,7 +87,7 @@
 {
     const auto object = nlohmann::json::parse(body);
     for (const auto &it : object["puts"])
-        put(it["table"], it["key"], fromBase64(it["value"]));
+        put(it["table"], it["key"], decodeBase64(std::string(it["value"])).value());
 }
 
 } // namespace Sapphireladder::Soak
