--- a/Tests/Core/Base64Test.cpp
+++ b/Tests/Core/Base64Test.cpp
@@ -11,8 +11,8 @@
 
 TEST_CASE_FIXTURE(Base64Fixture, "base64, any bytes, come back as they were")
 {
-    for (const auto &it : {std::string(), std::string("a"), std::string("\0\xff\n", 3),
-                           std::string(1000, '\x7f')}) {
+    for (const auto &it :
+         {std::string(), std::string("a"), std::string("\0\xff\n", 3), std::string(1000, '\x7f')}) {
         const auto text = encodeBase64(it);
         CHECK(text.find('\n') == std::string::npos);
         CHECK(decodeBase64(text).value() == it);
