Relay: Fewer calls of a store that is down

Each VM starts with 100 ms and doubles, five calls in 3 s, although the first two already tell that the store is down.

Change: from the second failure in a row on, a VM that knows the tables and that nobody asks calls each 2 s. A VM that knows nothing still doubles.

The new test fails with a pace that doubles.

--- a/Source/Process/Loop/PlatformSession.cpp
+++ b/Source/Process/Loop/PlatformSession.cpp
@@ -23,13 +23,12 @@
 constexpr Duration closeStartTime = 1s;
 /** Time between two looks at links and followers. */
 constexpr Duration superviseInterval = 250ms;
-/** Longest time between two calls of a store that fails. */
-constexpr Duration retryDelay = 1s;
 /**
- * The same for a VM of a large fleet, since all of them call when the store is down. Within 3 s of
- * the store's return every VM has to know what changed.
+ * Calls of a VM of a large fleet that follows the store for itself only: all of them call then.
+ * Within 3 s of the store's return every VM has to know what changed. Doubling from the first delay
+ * made each VM call five times in the first 3 s of an outage.
  */
-constexpr Duration manyRetryDelay = 2s;
+constexpr RetryPace manyRetryPace{2s, 20};
 /** Share of the bound on changes for which changes may gather at the store. */
 constexpr double gatherShare = 0.25;
 
@@ -99,7 +98,7 @@
     // One table that is asked often proves for both that the store is reached.
     m_followers.back().setWait(isReader ? readerWait : ownWait);
     const bool isOneOfMany = !isReader && m_plan.fleetSize() >= RelayPlan::minFleet;
-    m_followers.back().setLongestRetryDelay(isOneOfMany ? manyRetryDelay : retryDelay);
+    m_followers.back().setRetryPace(isOneOfMany ? manyRetryPace : RetryPace());
     if (!isFollowing())
         m_followingSince = m_context.clock.now();
     for (auto &it : m_followers) {
--- a/Source/Process/Loop/TableFollower.cpp
+++ b/Source/Process/Loop/TableFollower.cpp
@@ -11,7 +11,7 @@
 /** Time that the store may hold back an answer. Each call is priced; a lost answer is noticed late.
  */
 constexpr Duration longWait = 10s;
-/** Wait after a failed call, doubled with each further failure up to the longest. */
+/** Wait after a failed call. A connection that the store closed while idle is replaced by then. */
 constexpr Duration firstRetryDelay = 100ms;
 
 } // namespace
@@ -152,13 +152,21 @@
 {
     m_feed.dependencyFailed(dependencyOf(m_table), error);
     m_hasYielded = m_other && m_other->isFailing();
-    const auto doubled = firstRetryDelay * (1U << std::min(m_failures, 5U));
+    const auto delay = m_hasYielded ? yieldTime : retryDelay();
     ++m_failures;
-    const auto delay = m_hasYielded ? yieldTime : std::min<Duration>(doubled, m_longestRetryDelay);
     // VMs that failed together do not come back together.
     callAfter(duration_cast<Duration>(delay * (0.75 + m_random.unit() / 2)));
 }
 
+Duration TableFollower::retryDelay() const
+{
+    const RetryPace pace = needsRead() ? RetryPace() : m_retryPace;
+    auto delay = firstRetryDelay;
+    for (unsigned i = 0; i < m_failures && delay < pace.longest; ++i)
+        delay *= pace.growth;
+    return std::min(delay, pace.longest);
+}
+
 void TableFollower::callAfter(Duration delay)
 {
     m_timer.expires_after(delay);
--- a/Source/Process/Loop/TableFollower.h
+++ b/Source/Process/Loop/TableFollower.h
@@ -7,6 +7,15 @@
 
 namespace Sapphireladder {
 
+/** How calls that fail are repeated. */
+struct RetryPace
+{
+    /** Longest time between two calls. */
+    Duration longest = std::chrono::seconds(1);
+    /** Factor by which the time between two calls grows. */
+    unsigned growth = 2;
+};
+
 /** Follows one table of the store into the mirror: reads it once, then waits for its changes. */
 class TableFollower
 {
@@ -30,8 +39,8 @@
     bool isFailing() const { return m_failures > 0; }
     /** @param wait time that the store may hold back an answer without changes */
     void setWait(Duration wait) { m_wait = wait; }
-    /** @param delay longest time between two calls while they fail */
-    void setLongestRetryDelay(Duration delay) { m_longestRetryDelay = delay; }
+    /** @param pace used once the table is known; a VM that serves nobody yet asks often */
+    void setRetryPace(const RetryPace &pace) { m_retryPace = pace; }
     /**
      * While calls of the other follower fail too, this one calls seldom: both reach one store, and
      * the other one's answer says that it is back.
@@ -52,6 +61,8 @@
     void awaitChanges();
     void changesRead(Result<SourceRows> changes);
     void callFailed(const Error &error);
+    /** @return time until the next call, after the failures so far. */
+    Duration retryDelay() const;
     void callAfter(Duration delay);
 
     LoopContext &m_context;
@@ -64,7 +75,7 @@
     LoopTimer m_timer;
     RandomSource m_random = RandomSource::fromSystem();
     Duration m_wait;
-    Duration m_longestRetryDelay = std::chrono::seconds(1);
+    RetryPace m_retryPace;
     const TableFollower *m_other = nullptr;
     bool m_isRunning = false;
     /** A call or a timer for one is out. */
--- a/Tests/Process/TableFollowerTest.cpp
+++ b/Tests/Process/TableFollowerTest.cpp
@@ -160,6 +160,22 @@
     CHECK_FALSE(targets.isFailing());
 }
 
+// Guards against an outage in which each VM of a large fleet calls five times in 3 s (1,350 calls
+// in 8 s, trouble-3 of nilecrest-gw grown).
+TEST_CASE_FIXTURE(TableFollowerFixture, "table follower, seldom pace and two failures, calls late")
+{
+    targets.setRetryPace({2s, 20});
+    fail(RowTable::Targets);
+    run(200ms);
+    REQUIRE(store.countOpen(RowTable::Targets) == 1);
+    fail(RowTable::Targets);
+    // Delays vary by a quarter.
+    run(1400ms);
+    CHECK(store.countOpen(RowTable::Targets) == 0);
+    run(1200ms);
+    CHECK(store.countOpen(RowTable::Targets) == 1);
+}
+
 // Guards against answers to calls of before a stop, which would start a second chain of calls.
 TEST_CASE_FIXTURE(TableFollowerFixture, "table follower, answer of before a stop, is dropped")
 {
