Relay: Follow the store after 150 ms without a first word

By the log all 98 VMs count the fleet 22 ms after their start, and know the routes after 701 ms (median), ready after 713 ms: each waits 700 ms for the first word of others, and after a loss of all VMs nobody speaks.

Ruled out: start of the process (21 ms to the counted fleet), reading the tables (60 ms), the relay while others live: 13 VMs that were rolled alone were told the routes 48 to 106 ms after they counted the fleet.

Change: the wait is 150 ms, and the rule tells when to decide next, since a look each 250 ms made the wait longer. At the start of the whole fleet it stays 2 s.

The new test fails with 700 ms.

--- a/Source/Process/FollowRule.cpp
+++ b/Source/Process/FollowRule.cpp
@@ -29,4 +29,9 @@
     return now >= m_firstWordUntil ? FollowMode::Follow : FollowMode::Keep;
 }
 
+Duration FollowRule::nextDecisionIn(Duration usual, TimePoint now) const
+{
+    return now < m_firstWordUntil ? std::min(usual, m_firstWordUntil - now) : usual;
+}
+
 } // namespace Sapphireladder
--- a/Source/Process/FollowRule.h
+++ b/Source/Process/FollowRule.h
@@ -25,8 +25,12 @@
 class FollowRule
 {
 public:
-    /** Time for the first word of others before a VM that has just started follows the store. */
-    static constexpr Duration firstWordTime = std::chrono::milliseconds(700);
+    /**
+     * Time for the first word of others before a VM that has just started follows the store. Others
+     * told a VM that started alone within 48 to 106 ms (kanchferat-gw grown); after a power loss of
+     * all VMs nobody does, and callers wait for all of this time.
+     */
+    static constexpr Duration firstWordTime = std::chrono::milliseconds(150);
     /** The same if all VMs start: the others count the fleet up to 1 s later. */
     static constexpr Duration firstStartWordTime = std::chrono::seconds(2);
     /** Time for which a VM that was asked follows the store. VMs ask about each second. */
@@ -50,6 +54,8 @@
 
     /** @param isReader the VM reads the store for others by its own plan */
     FollowMode decide(bool isReader, TimePoint now);
+    /** @return time until the next decision: the usual one, or less if a first word is due then. */
+    Duration nextDecisionIn(Duration usual, TimePoint now) const;
 
 private:
     bool isFed(TimePoint now) const { return m_heardAt && now - *m_heardAt <= fedAge; }
--- a/Source/Process/Loop/PlatformSession.cpp
+++ b/Source/Process/Loop/PlatformSession.cpp
@@ -237,7 +237,7 @@
     }
     tellIfClose();
     logRole(role);
-    superviseAfter(superviseInterval);
+    superviseAfter(m_followRule.nextDecisionIn(superviseInterval, now));
 }
 
 void PlatformSession::openLinks(const RelayRole &role)
--- a/Tests/Process/FollowRuleTest.cpp
+++ b/Tests/Process/FollowRuleTest.cpp
@@ -40,6 +40,19 @@
     CHECK(decide() == FollowMode::Follow);
 }
 
+// Guards against callers that get nothing for long after a power loss of all VMs: 1,219 of 1,612
+// answers of these 2 s were late (trouble-2 of kanchferat-gw grown). A caller with the objective of
+// code-check, 500 ms for 210 ms of work, is in time if it arrives when the VM starts.
+TEST_CASE_FIXTURE(FollowRuleFixture, "follow rule, nobody tells a VM that started, soon follows")
+{
+    constexpr Duration superviseInterval = 250ms;
+    const auto startedAt = clock.now();
+    while (decide() == FollowMode::Keep)
+        clock.advance(rule.nextDecisionIn(superviseInterval, clock.now()));
+    CHECK(clock.now() - startedAt <= 290ms);
+    CHECK(rule.nextDecisionIn(superviseInterval, clock.now()) == superviseInterval);
+}
+
 TEST_CASE_FIXTURE(FollowRuleFixture, "follow rule, all VMs start, waits longer")
 {
     rule.begin(true, clock.now());
