Request, platform: Apply what targets state about themselves

Change: TargetEligibility holds, for each incarnation, what the registry and the target itself say; TargetEligibilityTable keeps it while records lapse and return. Load figures above a million are ignored, since their sum could overflow. stallLimit() gives an idempotent attempt up while another one still fits.

--- a/Source/Connection/Loop/Upstream.cpp
+++ b/Source/Connection/Loop/Upstream.cpp
@@ -4,14 +4,17 @@
 
 namespace Sapphireladder {
 
-Upstream::Upstream(LoopContext &context, const HeaderCodec &headerCodec, UpstreamCounters &counters,
-                   UpstreamSpec spec)
+Upstream::Upstream(LoopContext &context, const HeaderCodec &headerCodec, EventSink &events,
+                   UpstreamCounters &counters, UpstreamSpec spec,
+                   std::shared_ptr<TargetEligibility> eligibility)
     : m_context(context)
     , m_headerCodec(headerCodec)
+    , m_events(events)
     , m_counters(counters)
     , m_spec(std::move(spec))
     , m_stats(m_spec.slots)
     , m_probeBudget(context.clock.now())
+    , m_eligibility(std::move(eligibility))
 {}
 
 Upstream::~Upstream()
@@ -58,9 +61,12 @@
     if (answered) {
         const auto metadata = m_headerCodec.responseMetadata(answered->response.status,
                                                              answered->response.headers);
-        if (metadata.target && *metadata.target != m_spec.id)
-            m_isMisaddressed = true;
-        hasLoad = metadata.load.has_value() && !m_isMisaddressed;
+        const bool isOtherTarget = metadata.target && *metadata.target != m_spec.id;
+        if (isOtherTarget)
+            setMisaddressed();
+        else
+            responseReceived(metadata);
+        hasLoad = metadata.load.has_value() && !isOtherTarget;
         constexpr unsigned ok = 200;
         if (hasLoad)
             m_stats.loadReported(*metadata.load, answered->response.status == ok, now);
@@ -75,6 +81,23 @@
         it(hasLoad);
 }
 
+void Upstream::responseReceived(const ResponseMetadata &metadata)
+{
+    if (metadata.isLeaving && m_eligibility->announceLeaving()) {
+        ++m_counters.leavingAnnounced;
+        m_events.record(EventId::TargetLeaving,
+                        {{"target", m_spec.id.string()}, {"source", "response"}});
+    }
+    if (!metadata.retryAfter)
+        return;
+    const auto pause = m_eligibility->pause(*metadata.retryAfter, m_context.clock.now());
+    ++m_counters.pausesRequested;
+    m_events.record(EventId::TargetPaused,
+                    {{"target", m_spec.id.string()},
+                     {"requested_ms", std::to_string(toMilliseconds(*metadata.retryAfter))},
+                     {"pause_ms", std::to_string(toMilliseconds(pause))}});
+}
+
 std::shared_ptr<UpstreamConnection> Upstream::acquire(ReusePolicy reuse)
 {
     const auto now = m_context.clock.now();
--- a/Source/Connection/Loop/Upstream.h
+++ b/Source/Connection/Loop/Upstream.h
@@ -41,6 +41,10 @@
     std::uint64_t probesSent = 0;
     std::uint64_t probesFailed = 0;
     std::uint64_t connectionsOpened = 0;
+    /** Targets that announced in a response that they are leaving. */
+    std::uint64_t leavingAnnounced = 0;
+    /** Pauses that targets asked for. */
+    std::uint64_t pausesRequested = 0;
 };
 
 /**
@@ -53,9 +57,13 @@
     /** Called when a probe ends. @param hasLoad whether the target reported its load */
     using ProbeHandler = std::function<void(bool hasLoad)>;
 
-    /** All references must outlive the object. */
-    Upstream(LoopContext &context, const HeaderCodec &headerCodec, UpstreamCounters &counters,
-             UpstreamSpec spec);
+    /**
+     * All references must outlive the object.
+     * @param eligibility eligibility of the target's incarnation; not null
+     */
+    Upstream(LoopContext &context, const HeaderCodec &headerCodec, EventSink &events,
+             UpstreamCounters &counters, UpstreamSpec spec,
+             std::shared_ptr<TargetEligibility> eligibility);
     ~Upstream();
 
     const UpstreamSpec &spec() const { return m_spec; }
@@ -63,11 +71,15 @@
     const TargetStats &stats() const { return m_stats; }
 
     void setProbePolicy(const LoadProbePolicy &policy) { m_probeBudget.setPolicy(policy); }
-    void setDraining(bool isDraining) { m_isDraining = isDraining; }
+    void setDraining(bool isDraining) { m_eligibility->setDraining(isDraining); }
     /** @return whether new requests may be sent. */
-    bool isUsable() const { return !m_isDraining && !m_isMisaddressed; }
+    bool isUsable() const { return m_eligibility->isUsable(m_context.clock.now()); }
+    const TargetEligibility &eligibility() const { return *m_eligibility; }
     /** Marks the target as unusable because another target answers at its address. */
-    void setMisaddressed() { m_isMisaddressed = true; }
+    void setMisaddressed() { m_eligibility->setMisaddressed(); }
+    bool isMisaddressed() const { return m_eligibility->isMisaddressed(); }
+    /** Applies what the target states about itself in a response to a request or a probe. */
+    void responseReceived(const ResponseMetadata &metadata);
 
     /** @return the budget for load probes. */
     const LoadProbeBudget &probeBudget() const { return m_probeBudget; }
@@ -97,13 +109,13 @@
 
     LoopContext &m_context;
     const HeaderCodec &m_headerCodec;
+    EventSink &m_events;
     UpstreamCounters &m_counters;
     const UpstreamSpec m_spec;
     TargetStats m_stats;
     UpstreamLimits m_limits;
     LoadProbeBudget m_probeBudget;
-    bool m_isDraining = false;
-    bool m_isMisaddressed = false;
+    const std::shared_ptr<TargetEligibility> m_eligibility;
     std::vector<IdleConnection> m_idle;
     std::vector<ProbeHandler> m_probeHandlers;
     std::shared_ptr<UpstreamConnection> m_probeConnection;
--- a/Source/Connection/Loop/UpstreamConnection.h
+++ b/Source/Connection/Loop/UpstreamConnection.h
@@ -52,6 +52,7 @@
 
     /** @return whether another request may be sent. */
     bool isReusable() const { return m_state == State::Idle; }
+    bool isConnecting() const { return m_state == State::Connecting; }
     bool isClosed() const { return m_state == State::Closed; }
     /** @return when the last complete response ended, or nothing before the first. */
     std::optional<TimePoint> lastResponseAt() const { return m_lastResponseAt; }
--- a/Source/Core/Event.cpp
+++ b/Source/Core/Event.cpp
@@ -41,6 +41,7 @@
         {EventId::TargetRemoved, Severity::Info, "target-removed"},
         {EventId::TargetRecordInvalid, Severity::Warning, "target-record-invalid"},
         {EventId::TargetMisaddressed, Severity::Warning, "target-misaddressed"},
+        {EventId::TargetPaused, Severity::Info, "target-paused"},
         {EventId::PeerLost, Severity::Warning, "peer-lost"},
         {EventId::PeerJoined, Severity::Info, "peer-joined"},
         {EventId::PeerChannelReplaced, Severity::Warning, "peer-channel-replaced"},
--- a/Source/Core/Event.h
+++ b/Source/Core/Event.h
@@ -49,6 +49,7 @@
     TargetRemoved = 412,
     TargetRecordInvalid = 413,
     TargetMisaddressed = 414,
+    TargetPaused = 415,
     PeerLost = 500,
     PeerJoined = 501,
     PeerChannelReplaced = 502,
--- a/Source/Request/HeaderCodec.h
+++ b/Source/Request/HeaderCodec.h
@@ -38,6 +38,10 @@
     std::optional<LoadReport> load;
     /** The target states that it did not run the request. */
     bool notRun = false;
+    /** The target announces that it is leaving. */
+    bool isLeaving = false;
+    /** How long the target wants to receive no requests from this VM. */
+    std::optional<Duration> retryAfter;
     /** The response carries the signature of a target. */
     bool isSigned = false;
 };
--- a/Source/Request/Reasons.cpp
+++ b/Source/Request/Reasons.cpp
@@ -33,6 +33,7 @@
         "request-cut",
         "request-timeout",
         "time-too-short",
+        "targets-paused",
 };
 
 constexpr NameTable<UnknownReason> unknownNames = {
--- a/Source/Request/Reasons.h
+++ b/Source/Request/Reasons.h
@@ -40,6 +40,8 @@
     RequestTimeout,
     /** The time left is too short for an attempt. */
     TimeTooShort,
+    /** All usable targets asked this VM to send nothing for a while. */
+    TargetsPaused,
     Count,
 };
 
--- a/Source/Request/RetryDecision.cpp
+++ b/Source/Request/RetryDecision.cpp
@@ -35,6 +35,17 @@
     return std::nullopt;
 }
 
+std::optional<Duration> stallLimit(const RetryContext &context)
+{
+    if (!context.info.idempotent || context.attempts >= context.policy.maxAttempts)
+        return std::nullopt;
+    const auto limit = context.info.deadline - context.now
+                       - context.expectedDuration * stallReserve;
+    if (limit < context.expectedDuration * minStallFactor)
+        return std::nullopt;
+    return limit;
+}
+
 std::variant<RetryReason, RetryDenial> decideRetry(const FailedAttempt &failure,
                                                    const RetryContext &context, RetryTokens &tokens)
 {
--- a/Source/Request/RetryDecision.h
+++ b/Source/Request/RetryDecision.h
@@ -32,6 +32,20 @@
     Duration expectedDuration{};
 };
 
+/** Expected durations of an attempt that are left for another one when an attempt has stalled. */
+constexpr int stallReserve = 2;
+/** Minimum time without a response, in expected durations, after which an attempt has stalled. */
+constexpr int minStallFactor = 4;
+
+/**
+ * Some targets never respond to requests that they cannot queue. An attempt that may be repeated is
+ * therefore given up while there is just enough time for another one.
+ * @param context state of the request when the attempt is sent, with the attempt counted
+ * @return the time without a response after which the attempt has stalled, or nothing if it must
+ * not be given up.
+ */
+std::optional<Duration> stallLimit(const RetryContext &context);
+
 /**
  * Decides whether a failed attempt is retried. Consumes a token only if all other conditions hold.
  * @return the reason of the retry, or why there is none.
--- a/Tests/Platform/PlatformDecoderTest.cpp
+++ b/Tests/Platform/PlatformDecoderTest.cpp
@@ -166,6 +166,44 @@
     CHECK_FALSE(load("-1,0,8"));
 }
 
+// Guards against sums of load figures that overflow.
+TEST_CASE_FIXTURE(PlatformHeaderCodecFixture, "header codec, load with huge numbers, is ignored")
+{
+    CHECK_FALSE(load("18446744073709551615,1,6"));
+    CHECK_FALSE(load("1,0,99999999999999999999"));
+    CHECK_FALSE(load("1,0,6,4294967296"));
+}
+
+TEST_CASE_FIXTURE(PlatformHeaderCodecFixture,
+                  "header codec, leaving target, is recognized in any response")
+{
+    const HeaderField leaving[] = {{"server-leaving", "1"}};
+    CHECK(codec.responseMetadata(200, leaving).isLeaving);
+    CHECK(codec.responseMetadata(503, leaving).isLeaving);
+    const HeaderField staying[] = {{"Server-Leaving", "0"}};
+    CHECK_FALSE(codec.responseMetadata(200, staying).isLeaving);
+}
+
+// Guards against pauses that a target did not ask for, and against values that overflow.
+TEST_CASE_FIXTURE(PlatformHeaderCodecFixture,
+                  "header codec, Retry-After, is read from 503 responses and bounded")
+{
+    const auto pause = [this](unsigned status, const std::string &value) {
+        const HeaderField fields[] = {{"Retry-After", value}};
+        return codec.responseMetadata(status, fields).retryAfter;
+    };
+    CHECK(pause(503, "2") == 2s);
+    CHECK(pause(503, "0.25") == 250ms);
+    CHECK(pause(503, "0") == 0s);
+    CHECK(pause(503, "-3") == 0s);
+    CHECK(pause(503, "1e400") == 1s);
+    CHECK(pause(503, std::string(400, '9')) == 24h);
+    CHECK(pause(503, "Sat, 05 Dec 2026 07:00:00 GMT") == 1s);
+    CHECK(pause(503, "") == 1s);
+    CHECK_FALSE(pause(200, "2"));
+    CHECK_FALSE(pause(429, "2"));
+}
+
 // Guards against a caller's Deadline-Ms and Expect-Instance fields reaching the target as if the VM
 // had set them.
 TEST_CASE_FIXTURE(PlatformHeaderCodecFixture,
--- /dev/null
+++ b/Tests/Process/GatewayTest.cpp
@@ -0,0 +1,310 @@
+#include "Connection/RawSocket.h"
+#include "Process/Loop/ProcessLoop.h"
+#include "platform/Platform.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <doctest/doctest.h>
+
+#include <Poco/Net/ServerSocket.h>
+
+#include <mutex>
+#include <set>
+
+using namespace Sapphireladder;
+using namespace Sapphireladder::Tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** @return an address of this machine that is free at the moment. */
+Endpoint freeEndpoint()
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
+    return {"127.0.0.1", socket.address().port()};
+}
+
+/** A target of the platform whose responses the test chooses. */
+class ScriptedTarget
+{
+public:
+    /** Responds to one request. @return the bytes to send; nothing keeps the target silent */
+    using Responder = std::function<std::optional<std::string>(const std::string &id)>;
+
+    ScriptedTarget(std::string id, Responder responder)
+        : m_id(std::move(id))
+        , m_responder(std::move(responder))
+    {}
+
+    TargetRecord record() const
+    {
+        TargetRecord record;
+        record.id = TargetId(m_id);
+        record.service = ServiceName("desk");
+        record.endpoint = m_server.endpoint();
+        record.slots = 6;
+        record.incarnation = 1;
+        return record;
+    }
+    unsigned requestCount() const { return m_requestCount; }
+    unsigned probeCount() const { return m_probeCount; }
+    /** @return connections on which bytes arrived after a request without a response. */
+    unsigned reusedSilentConnections() const { return m_reusedSilentConnections; }
+
+    static std::string response(const std::string &status, const std::string &id,
+                                const std::string &fields, const std::string &body)
+    {
+        return "HTTP/1.1 " + status + "\r\nAttempt-Id: " + id
+               + "\r\nServer-Load: 1,0,6,100\r\nServer-Signature: s\r\n" + fields
+               + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+private:
+    void serve(RawSocket &socket)
+    {
+        while (true) {
+            const auto head = socket.readUntil("\r\n\r\n");
+            if (!head.ends_with("\r\n\r\n"))
+                return;
+            if (head.starts_with("GET /health")) {
+                ++m_probeCount;
+                socket.send("HTTP/1.1 200 OK\r\nInstance-Id: " + m_id
+                            + "\r\nServer-Load: 0,0,6,100\r\nContent-Length: 0\r\n\r\n");
+                continue;
+            }
+            ++m_requestCount;
+            constexpr std::string_view field = "Attempt-Id: ";
+            const auto begin = head.find(field) + field.size();
+            const auto reply = m_responder(head.substr(begin, head.find('\r', begin) - begin));
+            if (!reply) {
+                m_reusedSilentConnections += socket.readAll().empty() ? 0 : 1;
+                return;
+            }
+            if (!socket.send(*reply))
+                return;
+        }
+    }
+
+    const std::string m_id;
+    Responder m_responder;
+    std::atomic<unsigned> m_requestCount{0};
+    std::atomic<unsigned> m_probeCount{0};
+    std::atomic<unsigned> m_reusedSilentConnections{0};
+    ScriptedServer m_server{[this](RawSocket &socket, unsigned) { serve(socket); }};
+};
+
+} // namespace
+
+TEST_SUITE_BEGIN("Process");
+
+/** A gateway with its traffic thread, and targets with scripted responses. */
+struct GatewayFixture
+{
+    class EventRecorder final : public EventSink
+    {
+    public:
+        using EventSink::record;
+        void record(EventId id, std::span<const EventField>) override
+        {
+            const std::lock_guard lock(m_mutex);
+            m_ids.insert(id);
+        }
+        std::size_t count(EventId id)
+        {
+            const std::lock_guard lock(m_mutex);
+            return m_ids.count(id);
+        }
+
+    private:
+        std::mutex m_mutex;
+        std::multiset<EventId> m_ids;
+    };
+
+    GatewayFixture()
+    {
+        settings.callerEndpoint = freeEndpoint();
+        settings.readyEndpoint = freeEndpoint();
+        settings.metricsEndpoint = freeEndpoint();
+        settings.loadProbesPerTargetPerSecond = 1000;
+        gateway = std::make_unique<Gateway>(io, clock, *codec, events, settings);
+        REQUIRE(gateway->listen());
+        thread = std::thread([this] { io.run(); });
+    }
+    ~GatewayFixture()
+    {
+        io.stop();
+        thread.join();
+    }
+
+    void addTarget(const std::string &id, ScriptedTarget::Responder responder)
+    {
+        targets.push_back(std::make_unique<ScriptedTarget>(id, std::move(responder)));
+        records.push_back(targets.back()->record());
+    }
+
+    void publish()
+    {
+        RouteTableContent content;
+        content.version = ++version;
+        content.services.push_back({ServiceName("desk"), "/health", 100});
+        Route route;
+        route.name = "read";
+        route.prefix = "/read/";
+        route.idempotent = true;
+        route.maxAttempts = 3;
+        route.timeout = 1500ms;
+        route.latencyObjective = 250ms;
+        route.services = {{ServiceName("desk"), 1.0}};
+        auto write = route;
+        write.name = "write";
+        write.prefix = "/write/";
+        write.idempotent = false;
+        content.hosts.push_back({"a", {route, write}});
+        auto snapshot = std::make_shared<GatewaySnapshot>();
+        snapshot->routes = RouteTable::create(std::move(content)).value();
+        snapshot->targets = records;
+        snapshot->hasReadTargets = true;
+        gateway->publish(std::move(snapshot));
+    }
+
+    /** @return the response to one request on a new connection. */
+    std::string call(const std::string &path = "/read/x")
+    {
+        RawSocket socket(settings.callerEndpoint);
+        socket.send("GET " + path + " HTTP/1.1\r\nHost: a\r\nAttempt-Id: r"
+                    + std::to_string(++requestCount) + "\r\nDeadline-Ms: 3000\r\n\r\n");
+        return socket.readResponse();
+    }
+
+    /** Sends requests until one reaches the target, with pauses after which no load report is
+     * current, so that the search considers all targets. */
+    bool isReachedAgain(const ScriptedTarget &target)
+    {
+        const auto before = target.requestCount();
+        return eventually([&] {
+            std::this_thread::sleep_for(SearchPolicy().currentReportMaxAge * 2);
+            call();
+            return target.requestCount() > before;
+        });
+    }
+
+    unsigned succeeded(unsigned n)
+    {
+        unsigned count = 0;
+        for (unsigned i = 0; i < n; ++i)
+            count += call().starts_with("HTTP/1.1 200") ? 1 : 0;
+        return count;
+    }
+
+    static ScriptedTarget::Responder respond(const std::string &status, const std::string &fields)
+    {
+        return [=](const std::string &id) {
+            return ScriptedTarget::response(status, id, fields, "whole");
+        };
+    }
+
+    boost::asio::io_context io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard{
+            io.get_executor()};
+    SteadyClock clock;
+    std::unique_ptr<HeaderCodec> codec = Platform::createHeaderCodec();
+    EventRecorder events;
+    GatewaySettings settings;
+    std::vector<std::unique_ptr<ScriptedTarget>> targets;
+    std::vector<TargetRecord> records;
+    std::unique_ptr<Gateway> gateway;
+    std::thread thread;
+    std::uint64_t version = 0;
+    unsigned requestCount = 0;
+};
+
+// Guards against requests to a target that announced its stop, in the registry's words still ready.
+TEST_CASE_FIXTURE(GatewayFixture, "gateway, target announces leaving, sends it nothing more")
+{
+    addTarget("leaving", respond("200 OK", "Server-Leaving: 1\r\n"));
+    addTarget("staying", respond("200 OK", ""));
+    publish();
+    CHECK(succeeded(40) == 40);
+    CHECK(targets[0]->requestCount() <= 1);
+    REQUIRE(targets[0]->requestCount() == 1);
+    CHECK(events.count(EventId::TargetLeaving) == 1);
+
+    // The record lapses and returns, still reported as ready.
+    const auto record = records.front();
+    records.erase(records.begin());
+    publish();
+    CHECK(succeeded(1) == 1);
+    records.push_back(record);
+    publish();
+    CHECK(succeeded(20) == 20);
+    CHECK(targets[0]->requestCount() == 1);
+
+    // A restarted target is another incarnation.
+    records.back().incarnation = 2;
+    publish();
+    CHECK(isReachedAgain(*targets[0]));
+}
+
+// Guards against requests and probes to a target during the pause that it asked for.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "gateway, target asks for a pause, sends it nothing until it ends")
+{
+    addTarget("full",
+              respond("503 Service Unavailable", "Retry-After: 0.7\r\nNot-Executed: 1\r\n"));
+    addTarget("other", respond("200 OK", ""));
+    publish();
+    REQUIRE(eventually(
+            [&] { return call().starts_with("HTTP/1.1 200") && targets[0]->requestCount() == 1; }));
+    const auto pausedAt = clock.now();
+    const auto probes = targets[0]->probeCount();
+    while (clock.now() - pausedAt < 500ms)
+        CHECK(call().starts_with("HTTP/1.1 200"));
+    CHECK(targets[0]->requestCount() == 1);
+    CHECK(targets[0]->probeCount() == probes);
+    CHECK(events.count(EventId::TargetPaused) == 1);
+    CHECK(isReachedAgain(*targets[0]));
+}
+
+// Guards against requests that wait, or are sent, while every target is paused.
+TEST_CASE_FIXTURE(GatewayFixture, "gateway, all targets paused, refuses at once with their time")
+{
+    addTarget("full", respond("503 Service Unavailable", "Retry-After: 30\r\nNot-Executed: 1\r\n"));
+    publish();
+    CHECK(call("/write/x").starts_with("HTTP/1.1 503"));
+    const auto begin = clock.now();
+    const auto refusal = call("/write/x");
+    CHECK(clock.now() - begin < 200ms);
+    CHECK(refusal.starts_with("HTTP/1.1 503"));
+    constexpr std::string_view field = "Retry-After: ";
+    REQUIRE(refusal.find(field) != std::string::npos);
+    CHECK(std::stod(refusal.substr(refusal.find(field) + field.size())) >= 29);
+    CHECK(targets[0]->requestCount() == 1);
+}
+
+// Guards against an idempotent request that waits until its deadline for a target that never
+// responds to what it cannot queue, and against requests on such a connection.
+TEST_CASE_FIXTURE(GatewayFixture, "gateway, target stays silent, repeats the request elsewhere")
+{
+    addTarget("silent", [](const std::string &) { return std::nullopt; });
+    addTarget("other", respond("200 OK", ""));
+    publish();
+    REQUIRE(eventually(
+            [&] { return call().starts_with("HTTP/1.1 200") && targets[0]->requestCount() > 0; }));
+    CHECK(succeeded(20) == 20);
+    CHECK(targets[0]->reusedSilentConnections() == 0);
+}
+
+// Guards against a non-idempotent request that is sent again, or refused as not run, although the
+// silent target may have run it.
+TEST_CASE_FIXTURE(GatewayFixture,
+                  "gateway, target stays silent to a non-idempotent request, outcome is unknown")
+{
+    addTarget("silent", [](const std::string &) { return std::nullopt; });
+    publish();
+    const auto begin = clock.now();
+    const auto response = call("/write/x");
+    CHECK(clock.now() - begin < 2s);
+    CHECK((response.starts_with("HTTP/1.1 502") || response.starts_with("HTTP/1.1 504")));
+    CHECK(targets[0]->requestCount() == 1);
+}
+
+TEST_SUITE_END();
--- a/Tests/Request/RetryDecisionTest.cpp
+++ b/Tests/Request/RetryDecisionTest.cpp
@@ -60,4 +60,23 @@
     CHECK(std::get<RetryDenial>(decision) == RetryDenial::BudgetEmpty);
 }
 
+// Guards against requests that wait until their deadline for a target that never responds to what
+// it cannot queue.
+TEST_CASE_FIXTURE(RetryDecisionFixture,
+                  "stallLimit, idempotent with time to spare, leaves time for another attempt")
+{
+    policy.maxAttempts = 2;
+    info.deadline = TimePoint(1s);
+    const auto limit = [this](Duration expected) {
+        return stallLimit({info, policy, attempts, TimePoint(0s), expected});
+    };
+    CHECK(limit(100ms) == 800ms);
+    CHECK_FALSE(limit(200ms));
+    attempts = 2;
+    CHECK_FALSE(limit(100ms));
+    attempts = 1;
+    info.idempotent = false;
+    CHECK_FALSE(limit(100ms));
+}
+
 TEST_SUITE_END();
