--- a/Source/Process/GatewayControl.cpp
+++ b/Source/Process/GatewayControl.cpp
@@ -98,6 +98,8 @@
 {
     if (vms == 0 || vms == m_fleetSize)
         return;
+    if (vms < m_fleetSize && vms > fleetShrinkThreshold * m_fleetSize)
+        return;
     m_events.record(EventId::FleetCounted,
                     {{"vms", std::to_string(vms)}, {"previous", std::to_string(m_fleetSize)}});
     m_fleetSize = vms;
--- a/Source/Process/GatewayControl.h
+++ b/Source/Process/GatewayControl.h
@@ -27,8 +27,11 @@
 class GatewayControl final : public PlatformFeed
 {
 public:
-    /** Assumed until the fleet list is read. Large, so that this VM's share of budgets is low. */
-    static constexpr unsigned assumedFleetSize = 32;
+    /** Assumed until the size is known. Large, so that this VM's share of budgets is low. */
+    static constexpr unsigned assumedFleetSize = 1000;
+    /** Share of the known size that a smaller one must not exceed to be applied. Each application
+     * costs a new snapshot, and a size that is too large is safe. */
+    static constexpr double fleetShrinkThreshold = 0.9;
 
     /** The references must outlive the object. */
     GatewayControl(SnapshotSink &sink, EventSink &events, const Clock &clock);
--- a/Source/Process/GatewaySettings.h
+++ b/Source/Process/GatewaySettings.h
@@ -32,6 +32,8 @@
     /** Maximum time until a change is in force at a VM. */
     Duration maxChangeDelay = std::chrono::seconds(2);
     std::size_t maxConnections = 3000;
+    /** Processor cores of this VM; a fraction if it has a share of one. */
+    double cores = 1;
     /** All VMs start for the first time, so the fleet list is still empty. */
     bool isFirstStart = false;
 
--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -14,6 +14,13 @@
  * before this VM learns the new fleet size.
  */
 constexpr double usedProbeShare = 0.85;
+/**
+ * Part of the load probes to a target that the VMs with the target in their subsets may use. Half
+ * of what is left covers targets that are in more subsets than the mean.
+ */
+constexpr double subsetProbeShare = 0.5;
+/** Part of the load probes to a target that the other VMs may use. */
+constexpr double otherProbeShare = 0.25;
 /** Initial estimate of a route's service time, as a fraction of its latency objective. */
 constexpr double initialServiceTimeShare = 0.4;
 /** Weight of a new sample in the moving average of a route's service time. */
@@ -82,15 +89,18 @@
                              ? std::move(known.mapped())
                              : createEntry(it, service->healthPath);
         update(entry, it);
-        m_upstreamsByService[it.service].push_back(entry.upstream);
+        m_upstreamsByService[it.service].all.push_back(entry.upstream);
         entries.emplace(it.id, std::move(entry));
     }
+    for (auto &[name, upstreams] : m_upstreamsByService)
+        selectPreferred(upstreams);
     for (const auto &[id, entry] : m_upstreamEntries) {
         // Queued requests may still hold this upstream as a candidate.
         entry.upstream->setDraining(true);
         entry.upstream->closeIdle();
     }
     m_upstreamEntries = std::move(entries);
+    m_eligibilities.prune(m_context.clock.now());
     for (auto &[name, budget] : m_retryBudgets)
         budget.setPolicy(retryBudgetPolicy());
     if (!wasReady && std::holds_alternative<Response>(readiness()))
@@ -103,8 +113,9 @@
 {
     UpstreamSpec spec{record.id, record.endpoint, record.slots, record.zone == m_settings.zone,
                       std::string(healthPath)};
-    return {record, std::make_shared<Upstream>(m_context, m_headerCodec, m_upstreamCounters,
-                                               std::move(spec))};
+    return {record, std::make_shared<Upstream>(
+                            m_context, m_headerCodec, m_events, m_upstreamCounters, std::move(spec),
+                            m_eligibilities.find(record, m_context.clock.now()))};
 }
 
 bool Gateway::isSameInstance(const UpstreamEntry &entry, const TargetRecord &record,
@@ -126,10 +137,39 @@
     if (startsWarmup && record.warmupLeft > Duration::zero())
         stats.setWarmupEnd(m_context.clock.now() + record.warmupLeft);
     entry.upstream->setDraining(record.isDraining);
+}
+
+void Gateway::selectPreferred(ServiceUpstreams &upstreams)
+{
+    std::vector<SubsetTarget> targets;
+    std::vector<std::shared_ptr<Upstream>> remaining;
+    for (const auto &it : upstreams.all) {
+        if (it->eligibility().isLeaving() || it->eligibility().isDraining())
+            continue;
+        targets.push_back({it->spec().id, it->spec().isLocal});
+        remaining.push_back(it);
+    }
+    const SubsetPolicy policy;
+    const double fleetShare = 1.0 / m_snapshot->fleetSize;
+    const bool isWhole = targets.size() <= policy.size;
+    for (const auto &it : upstreams.all)
+        setProbeRate(*it, isWhole ? fleetShare : fleetShare * otherProbeShare);
+    // A target is in the subsets of about this share of the VMs.
+    const double subsetShare = static_cast<double>(policy.size)
+                               / static_cast<double>(std::max<std::size_t>(1, targets.size()));
+    upstreams.preferred.clear();
+    for (const auto i : selectSubset(targets, m_settings.vm, policy)) {
+        upstreams.preferred.push_back(remaining[i]);
+        if (!isWhole)
+            setProbeRate(*remaining[i], std::min(1.0, fleetShare * subsetProbeShare / subsetShare));
+    }
+}
+
+void Gateway::setProbeRate(Upstream &upstream, double fleetShare)
+{
     LoadProbePolicy policy;
-    policy.probesPerSecond = m_settings.loadProbesPerTargetPerSecond * usedProbeShare
-                             / m_snapshot->fleetSize;
-    entry.upstream->setProbePolicy(policy);
+    policy.probesPerSecond = m_settings.loadProbesPerTargetPerSecond * usedProbeShare * fleetShare;
+    upstream.setProbePolicy(policy);
 }
 
 RetryBudgetPolicy Gateway::retryBudgetPolicy() const
@@ -149,7 +189,12 @@
 
 std::span<const std::shared_ptr<Upstream>> Gateway::upstreams(const ServiceName &service)
 {
-    return m_upstreamsByService[service];
+    return m_upstreamsByService[service].all;
+}
+
+std::span<const std::shared_ptr<Upstream>> Gateway::preferredUpstreams(const ServiceName &service)
+{
+    return m_upstreamsByService[service].preferred;
 }
 
 RetryTokens &Gateway::retryTokens(const ServiceName &service)
@@ -265,6 +310,9 @@
              m_upstreamCounters.probesFailed},
             {"sapphireladder_target_connections_opened_total", "counter",
              m_upstreamCounters.connectionsOpened},
+            {"sapphireladder_targets_announced_leaving_total", "counter",
+             m_upstreamCounters.leavingAnnounced},
+            {"sapphireladder_target_pauses_total", "counter", m_upstreamCounters.pausesRequested},
             {"sapphireladder_abandoned_total", "counter", m_abandonedCount},
     };
     std::ostringstream out;
--- a/Source/Process/Loop/Gateway.h
+++ b/Source/Process/Loop/Gateway.h
@@ -53,6 +53,8 @@
     const SearchPolicy &searchPolicy() const override { return m_searchPolicy; }
     std::shared_ptr<const RouteTable> routes() const override { return m_snapshot->routes; }
     std::span<const std::shared_ptr<Upstream>> upstreams(const ServiceName &service) override;
+    std::span<const std::shared_ptr<Upstream>>
+    preferredUpstreams(const ServiceName &service) override;
     RetryTokens &retryTokens(const ServiceName &service) override;
     WeightedServiceSelector &serviceSelector(const Route &route) override;
     Duration expectedServiceTime(const Route &route) const override;
@@ -79,11 +81,22 @@
         std::shared_ptr<Upstream> upstream;
     };
 
+    /** The targets of one service. */
+    struct ServiceUpstreams
+    {
+        std::vector<std::shared_ptr<Upstream>> all;
+        /** Those that this VM uses. */
+        std::vector<std::shared_ptr<Upstream>> preferred;
+    };
+
     void applySnapshot(std::shared_ptr<const GatewaySnapshot> snapshot);
     UpstreamEntry createEntry(const TargetRecord &record, std::string_view healthPath);
     bool isSameInstance(const UpstreamEntry &entry, const TargetRecord &record,
                         std::string_view healthPath) const;
     void update(UpstreamEntry &entry, const TargetRecord &record);
+    /** Selects the targets that this VM uses, and divides the load probes among the VMs. */
+    void selectPreferred(ServiceUpstreams &upstreams);
+    void setProbeRate(Upstream &upstream, double fleetShare);
     RetryBudgetPolicy retryBudgetPolicy() const;
     RequestOutcome readiness() const;
     std::string metricsText() const;
@@ -96,8 +109,9 @@
     RandomSource m_random;
     SearchPolicy m_searchPolicy;
     std::shared_ptr<const GatewaySnapshot> m_snapshot;
+    TargetEligibilityTable m_eligibilities;
     std::map<TargetId, UpstreamEntry> m_upstreamEntries;
-    std::unordered_map<ServiceName, std::vector<std::shared_ptr<Upstream>>> m_upstreamsByService;
+    std::unordered_map<ServiceName, ServiceUpstreams> m_upstreamsByService;
     std::unordered_map<ServiceName, WindowedRetryBudget> m_retryBudgets;
     std::unordered_map<std::string, WeightedServiceSelector> m_serviceSelectors;
     /** Moving average of the service time, by route name. */
--- a/Source/Process/Loop/PlatformSession.cpp
+++ b/Source/Process/Loop/PlatformSession.cpp
@@ -8,33 +8,47 @@
 
 using namespace std::chrono_literals;
 
-/** Delay before the first read of the fleet list, so that VMs starting together are all in it. */
-constexpr Duration firstFleetReadDelay = 2s;
 /**
- * Interval between reads of the fleet list. Retry budgets and load probe rates depend on the fleet
- * size, which changes within minutes, as VMs come and go.
+ * Interval between reads of the fleet list by VMs that follow the store. Retry budgets and load
+ * probe rates depend on the fleet size, which changes within minutes, as VMs come and go.
  */
-constexpr Duration fleetReadInterval = 60s;
+constexpr Duration fleetReadInterval = 15s;
 constexpr Duration fleetRetryDelay = 5s;
+/** Delay before the list is read again after this VM added itself: others may do so, too. */
+constexpr Duration registrationDelay = 700ms;
 /** Long-poll wait of a VM that follows the store only for itself. */
 constexpr Duration standalonePollWait = 10s;
-/** Long-poll wait of a relaying VM. Frequent responses show that it still reaches the store. */
-constexpr Duration readerPollWait = 1200ms;
-/** Maximum age of the last store response for which a VM may relay changes to others. */
-constexpr Duration maxResponseAge = 1600ms;
+/**
+ * Long-poll wait of a relaying VM, as a fraction of the bound on change propagation. Frequent
+ * responses show that it still reaches the store.
+ */
+constexpr double readerPollShare = 0.5;
+/**
+ * Maximum age of the last store response for which a VM may relay changes to others, as a fraction
+ * of the bound. The rest of the bound is needed to notice the age and to query another VM.
+ */
+constexpr double maxResponseAgeShare = 0.7;
 /** Time allowed for the first store responses before a VM reports the store as unreachable. */
 constexpr Duration startupTimeout = 1s;
 /** Interval between checks of the relay links and table followers. */
 constexpr Duration superviseInterval = 250ms;
+/** The same for a VM that only receives relayed changes. A failed link is handled at once. */
+constexpr Duration relayedSuperviseInterval = 1500ms;
 /**
- * Retry backoff of a VM in a large fleet that follows the store only for itself. In that case all
- * VMs call the store, and all have to be up to date within 3 s of its recovery. Doubling the
+ * Retry backoff of a VM that follows the store only for itself. In that case all VMs may call the
+ * store, and all have to be up to date within 3 s of its recovery. Doubling the
  * initial delay caused five calls per VM in the first 3 s of an outage.
  */
-constexpr RetryBackoff largeFleetBackoff{2s, 20};
+constexpr RetryBackoff standaloneBackoff{2s, 20};
 /** Fraction of the bound on change propagation that is spent batching changes at the store. */
 constexpr double batchShare = 0.25;
 
+/** @return whether both entries name the same VM at the same address. */
+bool isSameRelay(const FleetMember &a, const FleetMember &b)
+{
+    return a.vm == b.vm && a.relayEndpoint == b.relayEndpoint;
+}
+
 } // namespace
 
 PlatformSession::PlatformSession(LoopContext &context, PlatformStore &store,
@@ -44,7 +58,8 @@
     , m_store(store)
     , m_feed(feed)
     , m_events(events)
-    , m_self{settings.vm, settings.zone, settings.relayEndpoint}
+    , m_self{settings.vm, settings.zone, settings.relayEndpoint, settings.cores, std::nullopt}
+    , m_maxChangeDelay(settings.maxChangeDelay)
     , m_mirror(translator, feed)
     , m_followers{makeFollower(store, RowTable::Routes, settings.maxChangeDelay),
                   makeFollower(store, RowTable::Targets, settings.maxChangeDelay)}
@@ -62,10 +77,12 @@
 {
     TRY(m_server.listen(m_self.relayEndpoint));
     // The tables are read once the fleet is known, since most VMs receive them from other VMs.
-    if (m_isFirstStart)
-        registerSelf();
-    else
-        readFleet();
+    m_fleetTimer.expires_after(
+            RelayRegistration::startDelay(m_isFirstStart, m_self.cores, m_random.unit()));
+    m_fleetTimer.async_wait([this](const auto &ec) {
+        if (!ec)
+            readFleet();
+    });
     return success();
 }
 
@@ -99,9 +116,10 @@
 void PlatformSession::follow(bool isReader)
 {
     // Frequent calls for one table are enough to show that the store is reachable.
-    m_followers.back().setPollWait(isReader ? readerPollWait : standalonePollWait);
-    const bool usesLargeFleetBackoff = !isReader && m_plan.fleetSize() >= RelayPlan::minFleetSize;
-    m_followers.back().setRetryBackoff(usesLargeFleetBackoff ? largeFleetBackoff : RetryBackoff());
+    m_followers.back().setPollWait(
+            isReader ? duration_cast<Duration>(m_maxChangeDelay * readerPollShare)
+                     : standalonePollWait);
+    m_followers.back().setRetryBackoff(isReader ? RetryBackoff() : standaloneBackoff);
     if (!isFollowing())
         m_followingSince = m_context.clock.now();
     for (auto &it : m_followers) {
@@ -132,10 +150,14 @@
     return isFollowing() && isNew && !isFailing ? RelayState::Starting : RelayState::Unavailable;
 }
 
-void PlatformSession::queryReceived()
+void PlatformSession::queryReceived(const VmId &vm)
 {
+    m_clients.recordQuery(vm, m_context.clock.now());
     m_storeFollowRule.recordRequest(m_context.clock.now());
+    const bool wasFollowing = isFollowing();
     follow(true);
+    if (!wasFollowing)
+        scheduleSupervision(superviseInterval);
 }
 
 void PlatformSession::notifyOnStateChange()
@@ -152,7 +174,8 @@
     const auto now = m_context.clock.now();
     return std::all_of(m_followers.begin(), m_followers.end(),
                        [](const auto &it) { return it.isRunning() && it.lastResponseAt(); })
-           && now - *m_followers.back().lastResponseAt() <= maxResponseAge;
+           && now - *m_followers.back().lastResponseAt()
+                      <= duration_cast<Duration>(m_maxChangeDelay * maxResponseAgeShare);
 }
 
 void PlatformSession::recordLinkResponses()
@@ -160,56 +183,116 @@
     for (const auto &it : m_links) {
         if (it->lastResponseAt())
             m_storeFollowRule.recordUpdate(*it->lastResponseAt());
+        else if (it->isAwaitingFirstResponse())
+            m_storeFollowRule.recordPendingQuery();
     }
 }
 
-void PlatformSession::registerSelf()
+void PlatformSession::writeSelf(std::optional<VmHashes> clients)
 {
-    m_store.writeMember(m_self, [this](Result<> written) {
+    if (std::exchange(m_isWritingSelf, true))
+        return;
+    auto self = m_self;
+    self.clients = std::move(clients);
+    m_store.writeMember(self, [this, self](Result<> written) {
+        m_isWritingSelf = false;
         if (!written) {
             m_feed.dependencyFailed(Dependency::FleetList, written.error());
-            follow(false);
-            scheduleFleetCall(fleetRetryDelay, &PlatformSession::registerSelf);
+            scheduleFleetCall(fleetReadInterval, &PlatformSession::refreshFleet);
             return;
         }
-        scheduleFleetCall(m_isFleetKnown ? fleetReadInterval : firstFleetReadDelay,
-                          &PlatformSession::readFleet);
+        if (self.clients)
+            m_clients.published(m_context.clock.now());
+        m_isOwnEntryUnread = true;
+        auto list = m_fleet;
+        std::erase_if(list.members, [&self](const auto &it) { return it.vm == self.vm; });
+        // In the order in which the store returns the entries.
+        const auto next = std::find_if(list.members.begin(), list.members.end(),
+                                       [&self](const auto &it) { return self.vm < it.vm; });
+        list.members.insert(next, self);
+        applyFleet(std::move(list));
+        scheduleFleetCall(registrationDelay, &PlatformSession::readFleet);
     });
 }
 
-void PlatformSession::registerSelfIfMissing(std::span<const FleetMember> members)
+void PlatformSession::readFleet()
 {
-    if (std::find(members.begin(), members.end(), m_self) == members.end())
-        registerSelf();
+    m_store.readMembers([this](Result<FleetList> list) { handleFleet(std::move(list)); });
 }
 
-void PlatformSession::readFleet()
+void PlatformSession::refreshFleet()
 {
-    m_store.readMembers([this](Result<std::vector<FleetMember>> members) {
-        handleMembers(std::move(members));
-    });
+    const bool isStoreFailing = std::any_of(m_followers.begin(), m_followers.end(),
+                                            [](const auto &it) { return it.isFailing(); });
+    if (isFollowing() && !isStoreFailing)
+        readFleet();
+    else
+        scheduleFleetCall(fleetReadInterval, &PlatformSession::refreshFleet);
 }
 
-void PlatformSession::handleMembers(Result<std::vector<FleetMember>> members)
+void PlatformSession::handleFleet(Result<FleetList> list)
 {
-    if (!members) {
-        m_feed.dependencyFailed(Dependency::FleetList, members.error());
+    if (!list) {
+        m_feed.dependencyFailed(Dependency::FleetList, list.error());
+        if (m_isFleetKnown) {
+            scheduleFleetCall(fleetReadInterval, &PlatformSession::refreshFleet);
+            return;
+        }
         follow(false);
         scheduleFleetCall(fleetRetryDelay, &PlatformSession::readFleet);
         return;
     }
     m_feed.dependencyResponded(Dependency::FleetList);
-    m_plan.setFleet(members.value());
-    m_feed.fleetSizeReceived(static_cast<unsigned>(m_plan.fleetSize()));
-    m_feed.changesComplete();
-    scheduleFleetCall(fleetReadInterval, &PlatformSession::readFleet);
+    scheduleFleetCall(fleetReadInterval, &PlatformSession::refreshFleet);
+    const auto now = m_context.clock.now();
     if (!std::exchange(m_isFleetKnown, true))
-        m_storeFollowRule.start(m_isFirstStart, m_context.clock.now());
-    registerSelfIfMissing(members.value());
-    if (m_plan.fleetSize() >= RelayPlan::minFleetSize)
-        supervise();
-    else
-        follow(false);
+        m_storeFollowRule.start(m_isFirstStart, now);
+    const bool isNeeded = RelayRegistration::isNeeded(list.value().members, m_plan.failingVms(now),
+                                                      m_self);
+    // The position is kept if nothing changed, so that an unchanged list is not relayed again.
+    const bool isChanged = list.value().members != m_fleet.members;
+    if (std::exchange(m_isOwnEntryUnread, false) || isChanged || m_fleet.position == 0)
+        applyFleet(std::move(list.value()));
+    if (isNeeded)
+        writeSelf(std::nullopt);
+}
+
+void PlatformSession::applyFleet(FleetList list)
+{
+    m_fleet = std::move(list);
+    m_plan.setFleet(m_fleet.members);
+    updateFleetSize(estimateFleetSize(m_fleet.members));
+    supervise();
+}
+
+void PlatformSession::updateFleetSize(std::optional<unsigned> vms)
+{
+    if (!vms || *vms == 0 || *vms == m_fleetSize)
+        return;
+    m_fleetSize = *vms;
+    m_plan.setFleetSize(*vms);
+    m_feed.fleetSizeReceived(*vms);
+    m_feed.changesComplete();
+}
+
+void PlatformSession::fleetReceived(const FleetList *list, unsigned fleetSize)
+{
+    // Deferred to the timer, since this is called from within a link, which supervise() may close.
+    if (list && list->position > m_fleet.position && !m_isOwnEntryUnread) {
+        m_fleet = *list;
+        m_plan.setFleet(m_fleet.members);
+        scheduleSupervision(Duration::zero());
+    }
+    updateFleetSize(fleetSize);
+}
+
+void PlatformSession::publishClients()
+{
+    if (m_isWritingSelf)
+        return;
+    auto clients = m_clients.toPublish(m_fleet.members, m_self.vm, m_context.clock.now());
+    if (clients)
+        writeSelf(std::move(clients));
 }
 
 void PlatformSession::scheduleSupervision(Duration delay)
@@ -225,6 +308,9 @@
 {
     const auto now = m_context.clock.now();
     const auto role = m_plan.role(now);
+    if (role.isReader)
+        m_clients.beginCounting(now);
+    publishClients();
     // Must precede updateLinks(): the response times of links that get replaced still count, so
     // that a switch to another source does not look like a loss of updates.
     recordLinkResponses();
@@ -244,26 +330,35 @@
     }
     notifyOnStateChange();
     logRole(role);
-    scheduleSupervision(m_storeFollowRule.timeToNextDecision(superviseInterval, now));
+    scheduleSupervision(superviseDelay(now));
+}
+
+Duration PlatformSession::superviseDelay(TimePoint now) const
+{
+    const bool isRelayed = !isFollowing() && !m_links.empty()
+                           && m_links.front()->lastResponseAt().has_value();
+    return m_storeFollowRule.timeToNextDecision(
+            isRelayed ? relayedSuperviseInterval : superviseInterval, now);
 }
 
 void PlatformSession::updateLinks(const RelayRole &role)
 {
     std::erase_if(m_links, [&role](const auto &it) {
-        const bool isWanted = std::find(role.sources.begin(), role.sources.end(), it->member())
-                              != role.sources.end();
+        const bool isWanted = std::any_of(
+                role.sources.begin(), role.sources.end(),
+                [&it](const auto &source) { return isSameRelay(source, it->member()); });
         if (!isWanted)
             it->stop();
         return !isWanted;
     });
     for (const auto &member : role.sources) {
         const bool isOpen = std::any_of(m_links.begin(), m_links.end(), [&member](const auto &it) {
-            return it->member() == member;
+            return isSameRelay(it->member(), member);
         });
         if (isOpen)
             continue;
-        m_links.push_back(std::make_shared<RelayLink>(
-                m_context, m_mirror, member, [this](const auto &failed) { linkFailed(failed); }));
+        m_links.push_back(
+                std::make_shared<RelayLink>(m_context, m_mirror, m_self.vm, member, *this));
         m_links.back()->start();
     }
 }
--- a/Source/Process/Loop/PlatformSession.h
+++ b/Source/Process/Loop/PlatformSession.h
@@ -14,7 +14,9 @@
  * Keeps this VM's copy of the platform's tables up to date, either by following the store directly
  * or by receiving changes from the few VMs that do. Runs on the control thread.
  */
-class PlatformSession final : public RelayHost
+class PlatformSession final
+    : public RelayHost
+    , public RelayLinkObserver
 {
 public:
     /** The references must outlive the session. */
@@ -28,7 +30,14 @@
 
     // RelayHost
     RelayState relayState() const override;
-    void queryReceived() override;
+    void queryReceived(const VmId &vm) override;
+    const FleetList &fleet() const override { return m_fleet; }
+    unsigned fleetSize() const override { return m_fleetSize; }
+
+    // RelayLinkObserver
+    void linkFailed(const FleetMember &member) override;
+    void fleetReceived(const FleetList *list, unsigned fleetSize) override;
+    std::uint64_t fleetPosition() const override { return m_fleet.position; }
 
 private:
     TableFollower makeFollower(PlatformStore &store, RowTable table, Duration maxChangeDelay);
@@ -36,10 +45,15 @@
     bool isFollowing() const;
     void recordLinkResponses();
     void notifyOnStateChange();
-    void registerSelf();
-    void registerSelfIfMissing(std::span<const FleetMember> members);
+    /** Writes this VM's entry in the fleet list. */
+    void writeSelf(std::optional<VmHashes> clients);
     void readFleet();
-    void handleMembers(Result<std::vector<FleetMember>> members);
+    void handleFleet(Result<FleetList> list);
+    void applyFleet(FleetList list);
+    void updateFleetSize(std::optional<unsigned> vms);
+    void publishClients();
+    /** Reads the fleet list again if this VM calls the store anyway. */
+    void refreshFleet();
     void scheduleSupervision(Duration delay);
     /** Updates the links, and starts or stops following the store, according to this VM's role. */
     void supervise();
@@ -47,7 +61,7 @@
     void follow(bool isReader);
     void stopFollowing();
     void updateLinks(const RelayRole &role);
-    void linkFailed(const FleetMember &member);
+    Duration superviseDelay(TimePoint now) const;
     void logRole(const RelayRole &role);
     void scheduleFleetCall(Duration delay, void (PlatformSession::*action)());
 
@@ -56,16 +70,23 @@
     PlatformFeed &m_feed;
     EventSink &m_events;
     const FleetMember m_self;
+    const Duration m_maxChangeDelay;
     RowMirror m_mirror;
     std::array<TableFollower, rowTableCount> m_followers;
     RelayServer m_server;
     RelayPlan m_plan;
+    FleetList m_fleet;
+    unsigned m_fleetSize = 0;
+    RelayClients m_clients;
+    bool m_isWritingSelf = false;
+    /** This VM wrote its entry and has not read the list since. */
+    bool m_isOwnEntryUnread = false;
     StoreFollowRule m_storeFollowRule;
     std::vector<std::shared_ptr<RelayLink>> m_links;
     LoopTimer m_fleetTimer;
     LoopTimer m_superviseTimer;
     RandomSource m_random = RandomSource::fromSystem();
-    /** Whether this VM has to register itself before it reads the fleet list for the first time. */
+    /** Whether the whole fleet starts, so that the fleet list is still empty. */
     const bool m_isFirstStart;
     bool m_isFleetKnown = false;
     /** When the VM last began to follow the store. */
--- a/Source/Process/Loop/RelayCodec.cpp
+++ b/Source/Process/Loop/RelayCodec.cpp
@@ -1,7 +1,14 @@
 #include "Process/Loop/ProcessLoop.h"
 
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
+#include <Poco/URI.h>
 #include <nlohmann/json.hpp>
 
+#include <array>
+#include <sstream>
+
 namespace Sapphireladder {
 
 namespace {
@@ -9,8 +16,80 @@
 using Json = nlohmann::json;
 
 constexpr std::array<const char *, rowTableCount> tableNames = {"routes", "targets"};
-/** Suffix of a request target that asks for an immediate response. */
-constexpr std::string_view immediateSuffix = "&immediate";
+/** Size from which a message is compressed. Most messages hold a single change or none. */
+constexpr std::size_t minCompressedBytes = 4 * kibibyte;
+/** Largest message after decompression. The records of 2,400 targets take about 1 MB. */
+constexpr std::size_t maxMessageBytes = 32 * mebibyte;
+/** First byte of a zlib stream. No JSON text begins with it. */
+constexpr char zlibMarker = 0x78;
+
+std::string compress(const std::string &text)
+{
+    std::ostringstream out;
+    Poco::DeflatingOutputStream deflater(out, Poco::DeflatingStreamBuf::STREAM_ZLIB);
+    deflater << text;
+    deflater.close();
+    return out.str();
+}
+
+std::optional<std::string> decompress(std::string_view bytes)
+{
+    std::istringstream in{std::string(bytes)};
+    Poco::InflatingInputStream inflater(in, Poco::InflatingStreamBuf::STREAM_ZLIB);
+    std::string text;
+    std::array<char, 16 * kibibyte> block{};
+    try {
+        while (inflater.read(block.data(), block.size()) || inflater.gcount() > 0) {
+            text.append(block.data(), static_cast<std::size_t>(inflater.gcount()));
+            if (text.size() > maxMessageBytes)
+                return std::nullopt;
+        }
+    } catch (const Poco::Exception &) {
+        return std::nullopt;
+    }
+    return text;
+}
+
+/** Without the clients: the receiver gets the fleet size instead. */
+Json encodeMember(const FleetMember &member)
+{
+    return {{"vm", member.vm.string()},
+            {"zone", member.zone.string()},
+            {"relay", member.relayEndpoint.toString()},
+            {"cores", member.cores}};
+}
+
+std::optional<FleetMember> decodeMember(const Json &object)
+{
+    if (!object.is_object() || !object.contains("vm") || !object["vm"].is_string()
+        || !object.contains("zone") || !object["zone"].is_string() || !object.contains("relay")
+        || !object["relay"].is_string() || !object.contains("cores")
+        || !object["cores"].is_number())
+        return std::nullopt;
+    const auto endpoint = Endpoint::parse(object["relay"].get<std::string>());
+    if (!endpoint)
+        return std::nullopt;
+    return FleetMember{VmId(object["vm"].get<std::string>()),
+                       ZoneName(object["zone"].get<std::string>()), endpoint.value(),
+                       object["cores"].get<double>(), std::nullopt};
+}
+
+std::optional<FleetList> decodeFleet(const Json &object)
+{
+    if (!object.is_object() || !object.contains("position")
+        || !object["position"].is_number_unsigned() || !object.contains("members")
+        || !object["members"].is_array())
+        return std::nullopt;
+    FleetList list;
+    list.position = object["position"].get<std::uint64_t>();
+    for (const auto &it : object["members"]) {
+        auto member = decodeMember(it);
+        if (!member)
+            return std::nullopt;
+        list.members.push_back(std::move(*member));
+    }
+    return list;
+}
 
 Json encodeRow(const SourceRow &row)
 {
@@ -58,41 +137,43 @@
 
 std::string encodeRelayTarget(const RelayQuery &query)
 {
-    std::string target(relayPath);
-    char separator = '?';
-    for (std::size_t i = 0; i < query.positions.size(); ++i) {
-        target += separator;
-        target.append(tableNames[i]).append("=").append(std::to_string(query.positions[i]));
-        separator = '&';
-    }
+    Poco::URI uri;
+    uri.setPath(std::string(relayPath));
+    for (std::size_t i = 0; i < query.positions.size(); ++i)
+        uri.addQueryParameter(tableNames[i], std::to_string(query.positions[i]));
+    uri.addQueryParameter("fleet", std::to_string(query.fleetPosition));
+    uri.addQueryParameter("vm", query.vm.string());
     if (query.isImmediate)
-        target += immediateSuffix;
-    return target;
+        uri.addQueryParameter("immediate");
+    return uri.toString();
 }
 
 std::optional<RelayQuery> decodeRelayTarget(std::string_view target)
 {
     if (!target.starts_with(relayPath))
         return std::nullopt;
-    target.remove_prefix(relayPath.size());
     RelayQuery query;
-    if (target.ends_with(immediateSuffix)) {
-        query.isImmediate = true;
-        target.remove_suffix(immediateSuffix.size());
-    }
-    for (std::size_t i = 0; i < query.positions.size(); ++i) {
-        const auto name = std::string(1, i == 0 ? '?' : '&') + tableNames[i] + '=';
-        if (!target.starts_with(name))
-            return std::nullopt;
-        target.remove_prefix(name.size());
-        const auto end = std::min(target.find('&'), target.size());
-        const auto n = parseUnsigned(target.substr(0, end));
-        if (!n)
-            return std::nullopt;
-        query.positions[i] = n.value();
-        target.remove_prefix(end);
+    std::map<std::string, std::uint64_t *> numbers = {{"fleet", &query.fleetPosition}};
+    for (std::size_t i = 0; i < query.positions.size(); ++i)
+        numbers.emplace(tableNames[i], &query.positions[i]);
+    try {
+        for (const auto &[name, value] : Poco::URI(std::string(target)).getQueryParameters()) {
+            if (name == "immediate") {
+                query.isImmediate = true;
+            } else if (name == "vm") {
+                query.vm = VmId(value);
+            } else {
+                const auto number = numbers.extract(name);
+                const auto n = parseUnsigned(value);
+                if (!number || !n)
+                    return std::nullopt;
+                *number.mapped() = n.value();
+            }
+        }
+    } catch (const Poco::Exception &) {
+        return std::nullopt;
     }
-    return target.empty() ? std::optional(query) : std::nullopt;
+    return numbers.empty() && !query.vm.isEmpty() ? std::optional(query) : std::nullopt;
 }
 
 std::string encodeRelayChanges(const RelayChanges &changes)
@@ -107,13 +188,28 @@
         if (changes.tables[i].isFullTable)
             object[tableNames[i]]["whole"] = true;
     }
+    object["vms"] = changes.fleetSize;
+    if (changes.fleet) {
+        auto members = Json::array();
+        for (const auto &it : changes.fleet->members)
+            members.push_back(encodeMember(it));
+        object["fleet"] = {{"position", changes.fleet->position}, {"members", std::move(members)}};
+    }
     // Rows of other writers may hold invalid UTF-8. Replacing it does no harm, since no usable
     // target record contains such bytes.
-    return object.dump(-1, ' ', false, Json::error_handler_t::replace);
+    auto text = object.dump(-1, ' ', false, Json::error_handler_t::replace);
+    return text.size() < minCompressedBytes ? text : compress(text);
 }
 
 Result<RelayChanges> decodeRelayChanges(std::string_view text)
 {
+    std::optional<std::string> decompressed;
+    if (text.starts_with(zlibMarker)) {
+        decompressed = decompress(text);
+        if (!decompressed)
+            return makeError(ProcessError::PeerMessageInvalid, "compression");
+        text = *decompressed;
+    }
     const auto object = Json::parse(text, nullptr, false);
     RelayChanges changes;
     for (std::size_t i = 0; i < rowTableCount; ++i) {
@@ -124,6 +220,13 @@
             return makeError(ProcessError::PeerMessageInvalid, tableNames[i]);
         changes.tables[i] = std::move(*table);
     }
+    if (object.contains("vms") && object["vms"].is_number_unsigned())
+        changes.fleetSize = object["vms"].get<unsigned>();
+    if (object.contains("fleet")) {
+        changes.fleet = decodeFleet(object["fleet"]);
+        if (!changes.fleet)
+            return makeError(ProcessError::PeerMessageInvalid, "fleet");
+    }
     return changes;
 }
 
--- a/Source/Process/Loop/RelayCodec.h
+++ b/Source/Process/Loop/RelayCodec.h
@@ -15,7 +15,11 @@
 /** A long-poll query of one VM to another for table changes. */
 struct RelayQuery
 {
+    /** The VM that sends the query. */
+    VmId vm;
     RelayPositions positions{};
+    /** Position of the fleet list that the VM knows; 0 if none. */
+    std::uint64_t fleetPosition = 0;
     /** Respond at once, even if there are no changes. */
     bool isImmediate = false;
 
@@ -33,6 +37,10 @@
         bool isFullTable = false;
     };
     std::array<Table, rowTableCount> tables;
+    /** Upper estimate of the number of VMs; 0 if unknown. */
+    unsigned fleetSize = 0;
+    /** The fleet list, if it is newer than the one that the VM knows. */
+    std::optional<FleetList> fleet;
 };
 
 /** Path of the relay endpoint. */
@@ -42,6 +50,7 @@
 std::string encodeRelayTarget(const RelayQuery &query);
 /** @return the query, or nothing if the request target is not a valid relay query. */
 std::optional<RelayQuery> decodeRelayTarget(std::string_view target);
+/** @return the encoded changes, compressed if they are large. */
 std::string encodeRelayChanges(const RelayChanges &changes);
 /** @return the changes, or ProcessError::PeerMessageInvalid. */
 Result<RelayChanges> decodeRelayChanges(std::string_view text);
--- a/Source/Process/Loop/RelayLink.cpp
+++ b/Source/Process/Loop/RelayLink.cpp
@@ -18,12 +18,13 @@
 
 } // namespace
 
-RelayLink::RelayLink(LoopContext &context, RowMirror &mirror, FleetMember member,
-                     FailureHandler failureHandler)
+RelayLink::RelayLink(LoopContext &context, RowMirror &mirror, VmId self, FleetMember member,
+                     RelayLinkObserver &observer)
     : m_context(context)
     , m_mirror(mirror)
+    , m_self(std::move(self))
     , m_member(std::move(member))
-    , m_failureHandler(std::move(failureHandler))
+    , m_observer(observer)
 {}
 
 RelayLink::~RelayLink()
@@ -49,6 +50,8 @@
 void RelayLink::sendQuery()
 {
     RelayQuery query;
+    query.vm = m_self;
+    query.fleetPosition = m_observer.fleetPosition();
     for (const auto table : rowTables)
         query.positions[static_cast<std::size_t>(table)] = m_mirror.position(table);
     // The first response shows whether the other VM follows the store, so it is requested at once.
@@ -75,7 +78,7 @@
                                      : makeError(ProcessError::PeerMessageInvalid);
     if (!changes) {
         stop();
-        m_failureHandler(m_member);
+        m_observer.linkFailed(m_member);
         return;
     }
     m_lastResponseAt = m_context.clock.now();
@@ -86,6 +89,8 @@
         else
             m_mirror.apply(table, received.rows, received.position);
     }
+    const auto &fleet = changes.value().fleet;
+    m_observer.fleetReceived(fleet ? &*fleet : nullptr, changes.value().fleetSize);
     if (m_isStopped)
         return;
     if (m_connection->isReusable())
--- a/Source/Process/Loop/RelayLink.h
+++ b/Source/Process/Loop/RelayLink.h
@@ -3,25 +3,40 @@
 #include "Connection/Loop/ConnectionLoop.h"
 #include "Process/Loop/RelayCodec.h"
 
-#include <functional>
 #include <memory>
 #include <optional>
 
 namespace Sapphireladder {
 
+/** Receives what a relay link learns besides table changes. */
+class RelayLinkObserver
+{
+public:
+    virtual ~RelayLinkObserver() = default;
+    /**
+     * The other VM did not respond or does not follow the store. The link is then stopped already.
+     */
+    virtual void linkFailed(const FleetMember &member) = 0;
+    /**
+     * @param list newer fleet list, or null if the known one is up to date
+     * @param fleetSize upper estimate of the number of VMs; 0 if unknown
+     */
+    virtual void fleetReceived(const FleetList *list, unsigned fleetSize) = 0;
+    /** @return position of the known fleet list. */
+    virtual std::uint64_t fleetPosition() const = 0;
+};
+
 /** Long-polls one other VM for table changes and applies them to the mirror. */
 class RelayLink : public std::enable_shared_from_this<RelayLink>
 {
 public:
     /**
-     * Called when the other VM did not respond or does not follow the store. The link is then
-     * stopped already.
+     * The references must outlive the link.
+     * @param self the VM that sends the queries
+     * @param member the VM that is queried
      */
-    using FailureHandler = std::function<void(const FleetMember &member)>;
-
-    /** The references must outlive the link. */
-    RelayLink(LoopContext &context, RowMirror &mirror, FleetMember member,
-              FailureHandler failureHandler);
+    RelayLink(LoopContext &context, RowMirror &mirror, VmId self, FleetMember member,
+              RelayLinkObserver &observer);
     ~RelayLink();
 
     void start();
@@ -29,6 +44,11 @@
     const FleetMember &member() const { return m_member; }
     /** @return when the other VM last sent a valid response, or nothing. */
     std::optional<TimePoint> lastResponseAt() const { return m_lastResponseAt; }
+    /** @return whether the other VM accepted the connection and has not responded yet. */
+    bool isAwaitingFirstResponse() const
+    {
+        return m_connection && !m_connection->isConnecting() && !m_lastResponseAt;
+    }
 
 private:
     void sendQuery();
@@ -36,8 +56,9 @@
 
     LoopContext &m_context;
     RowMirror &m_mirror;
+    const VmId m_self;
     const FleetMember m_member;
-    FailureHandler m_failureHandler;
+    RelayLinkObserver &m_observer;
     std::shared_ptr<UpstreamConnection> m_connection;
     std::optional<TimePoint> m_lastResponseAt;
     bool m_isStopped = false;
--- a/Source/Process/Loop/RelayServer.cpp
+++ b/Source/Process/Loop/RelayServer.cpp
@@ -8,6 +8,8 @@
 
 /** Maximum wait before an empty response. It bounds the time to detect an unresponsive VM. */
 constexpr Duration maxHoldTime = std::chrono::seconds(1);
+/** Responses kept encoded. VMs that lag behind send queries with different positions. */
+constexpr std::size_t maxCachedResponses = 16;
 
 } // namespace
 
@@ -79,7 +81,7 @@
         reply({Refusal{RefusalReason::UnknownService}, {}});
         return nullptr;
     }
-    m_host.queryReceived();
+    m_host.queryReceived(query->vm);
     auto pending = std::make_shared<PendingQuery>(*this, *query, std::move(reply));
     m_pendingQueries.push_back(pending);
     pending->start();
@@ -87,28 +89,61 @@
     return pending;
 }
 
-std::optional<RequestOutcome> RelayServer::outcomeFor(const RelayQuery &query,
-                                                      bool isTimedOut) const
+std::optional<RequestOutcome> RelayServer::outcomeFor(const RelayQuery &query, bool isTimedOut)
 {
     const auto state = m_host.relayState();
     if (state == RelayState::Starting && !isTimedOut)
         return std::nullopt;
     if (state != RelayState::UpToDate)
         return Refusal{RefusalReason::NoPreset};
+    const auto changes = changesFor(query);
+    if (changes)
+        return textResponse(*changes);
+    if (!isTimedOut && !query.isImmediate)
+        return std::nullopt;
+    RelayChanges nothing;
+    nothing.fleetSize = m_host.fleetSize();
+    for (const auto table : rowTables)
+        nothing.tables[static_cast<std::size_t>(table)].position = m_mirror.position(table);
+    return textResponse(encodeRelayChanges(nothing));
+}
+
+std::shared_ptr<const std::string> RelayServer::changesFor(const RelayQuery &query)
+{
+    CacheKey key = {query.fleetPosition, m_host.fleet().position, m_host.fleetSize()};
+    for (const auto table : rowTables) {
+        key.push_back(query.positions[static_cast<std::size_t>(table)]);
+        key.push_back(m_mirror.position(table));
+    }
+    const auto it = m_cache.find(key);
+    if (it != m_cache.end())
+        return it->second;
+    if (m_cache.size() >= maxCachedResponses)
+        m_cache.clear();
+    bool hasNews = false;
+    auto text = encodeChanges(query, hasNews);
+    auto changes = hasNews ? std::make_shared<const std::string>(std::move(text)) : nullptr;
+    return m_cache.emplace(std::move(key), std::move(changes)).first->second;
+}
+
+std::string RelayServer::encodeChanges(const RelayQuery &query, bool &hasNews) const
+{
     RelayChanges changes;
-    bool hasRows = false;
     for (const auto table : rowTables) {
         const auto i = static_cast<std::size_t>(table);
         auto rows = m_mirror.changesSince(table, query.positions[i]);
         const bool isFullTable = !rows;
         if (isFullTable)
             rows = m_mirror.allRows(table);
-        hasRows = hasRows || isFullTable || !rows->empty();
+        hasNews = hasNews || isFullTable || !rows->empty();
         changes.tables[i] = {m_mirror.position(table), std::move(*rows), isFullTable};
     }
-    if (!hasRows && !isTimedOut && !query.isImmediate)
-        return std::nullopt;
-    return textResponse(encodeRelayChanges(changes));
+    changes.fleetSize = m_host.fleetSize();
+    if (m_host.fleet().position > query.fleetPosition) {
+        changes.fleet = m_host.fleet();
+        hasNews = true;
+    }
+    return encodeRelayChanges(changes);
 }
 
 void RelayServer::respondToPending()
--- a/Source/Process/Loop/RelayServer.h
+++ b/Source/Process/Loop/RelayServer.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <unordered_set>
 
@@ -28,7 +29,11 @@
     virtual RelayState relayState() const = 0;
     /** Called when another VM queries for changes. This VM follows the store while queries arrive.
      */
-    virtual void queryReceived() = 0;
+    virtual void queryReceived(const VmId &vm) = 0;
+    /** @return the fleet list as last read. */
+    virtual const FleetList &fleet() const = 0;
+    /** @return upper estimate of the number of VMs; 0 if unknown. */
+    virtual unsigned fleetSize() const = 0;
 };
 
 /** Serves table changes to other VMs by long polling: responses wait for a change up to a limit. */
@@ -57,13 +62,20 @@
     /** A long-poll query that has no response yet. */
     class PendingQuery;
 
-    std::optional<RequestOutcome> outcomeFor(const RelayQuery &query, bool isTimedOut) const;
+    std::optional<RequestOutcome> outcomeFor(const RelayQuery &query, bool isTimedOut);
+    /** @return the encoded changes since the query's positions; nothing if there are none. */
+    std::shared_ptr<const std::string> changesFor(const RelayQuery &query);
+    std::string encodeChanges(const RelayQuery &query, bool &hasNews) const;
 
     LoopContext &m_context;
     const RowMirror &m_mirror;
     RelayHost &m_host;
     RequestLimits m_limits;
     bool m_isStopping = false;
+    /** What a response depends on: positions of the query, and those of this VM. */
+    using CacheKey = std::vector<std::uint64_t>;
+    /** Encoded changes; null if there are none. Many VMs send the same query. */
+    std::map<CacheKey, std::shared_ptr<const std::string>> m_cache;
     std::list<std::weak_ptr<PendingQuery>> m_pendingQueries;
     std::unordered_set<std::shared_ptr<CallerSession>> m_sessions;
     ConnectionListener m_listener;
--- a/Source/Process/PlatformStore.h
+++ b/Source/Process/PlatformStore.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -49,23 +50,38 @@
     bool isTruncated = false;
 };
 
-/** A gateway VM's entry in the fleet list, which that VM writes. */
+/** Smallest hashes of the ids of a set of VMs; see VmSketch. */
+using VmHashes = std::vector<std::uint32_t>;
+
+/** A VM that can relay changes to others: its entry in the fleet list, which that VM writes. */
 struct FleetMember
 {
     VmId vm;
     ZoneName zone;
     /** Where other VMs request relayed changes. */
     Endpoint relayEndpoint;
+    /** Processor cores of the VM; a fraction if it has a share of one. 0 if unknown. */
+    double cores = 0;
+    /** Sketch of the VMs that it relays changes to; absent until it has counted them. */
+    std::optional<VmHashes> clients;
 
     friend bool operator==(const FleetMember &, const FleetMember &) = default;
 };
 
+/** The VMs that can relay changes. Most VMs of a large fleet are not listed. */
+struct FleetList
+{
+    std::vector<FleetMember> members;
+    /** Store revision that the list reflects. */
+    std::uint64_t position = 0;
+};
+
 /** Calls to the platform's store. Handlers are called on the control thread. */
 class PlatformStore
 {
 public:
     using RowsHandler = std::function<void(Result<SourceRows> rows)>;
-    using MembersHandler = std::function<void(Result<std::vector<FleetMember>> members)>;
+    using MembersHandler = std::function<void(Result<FleetList> list)>;
     using WriteHandler = std::function<void(Result<> written)>;
 
     virtual ~PlatformStore() = default;
--- a/Source/Process/RelayPlan.cpp
+++ b/Source/Process/RelayPlan.cpp
@@ -1,5 +1,7 @@
 #include "Process/Process.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <set>
 
@@ -7,15 +9,18 @@
 
 namespace {
 
-/** 64-bit FNV-1a. The hash must be the same on every VM, which std::hash does not guarantee. */
+/** The hash must be the same on every VM, which std::hash does not guarantee. */
 std::uint64_t hashOf(const VmId &vm)
 {
-    constexpr std::uint64_t offset = 14695981039346656037ULL;
-    constexpr std::uint64_t prime = 1099511628211ULL;
-    std::uint64_t hash = offset;
-    for (const char it : vm.view())
-        hash = (hash ^ static_cast<unsigned char>(it)) * prime;
-    return hash;
+    return XXH3_64bits(vm.view().data(), vm.view().size());
+}
+
+void rotateBy(std::span<FleetMember> members, std::uint64_t n)
+{
+    if (members.empty())
+        return;
+    const auto middle = static_cast<std::ptrdiff_t>(n % members.size());
+    std::rotate(members.begin(), members.begin() + middle, members.end());
 }
 
 } // namespace
@@ -23,12 +28,9 @@
 void RelayPlan::setFleet(std::span<const FleetMember> members)
 {
     m_ranked.assign(members.begin(), members.end());
-    const bool hasSelf = std::any_of(m_ranked.begin(), m_ranked.end(),
-                                     [this](const auto &it) { return it.vm == m_self.vm; });
-    if (!hasSelf)
-        m_ranked.push_back(m_self);
     std::sort(m_ranked.begin(), m_ranked.end(), [](const auto &a, const auto &b) {
-        return std::make_pair(hashOf(a.vm), a.vm) < std::make_pair(hashOf(b.vm), b.vm);
+        return std::make_tuple(-a.cores, hashOf(a.vm), a.vm.view())
+               < std::make_tuple(-b.cores, hashOf(b.vm), b.vm.view());
     });
 }
 
@@ -38,12 +40,14 @@
     return it != m_failedAt.end() && now - it->second < failureRetention;
 }
 
-std::size_t RelayPlan::countFailing(TimePoint now) const
+std::vector<VmId> RelayPlan::failingVms(TimePoint now) const
 {
-    const auto n = std::count_if(m_failedAt.begin(), m_failedAt.end(), [now](const auto &it) {
-        return now - it.second < failureRetention;
-    });
-    return static_cast<std::size_t>(n);
+    std::vector<VmId> vms;
+    for (const auto &[vm, failedAt] : m_failedAt) {
+        if (now - failedAt < failureRetention)
+            vms.push_back(vm);
+    }
+    return vms;
 }
 
 std::size_t RelayPlan::readerCount() const
@@ -51,17 +55,22 @@
     std::set<ZoneName> zones;
     for (const auto &it : m_ranked)
         zones.insert(it.zone);
-    return std::clamp(zones.size(), minReaders, maxReaders);
+    const auto fleetSize = std::max(m_fleetSize, m_ranked.size());
+    const auto share = [fleetSize](std::size_t n) { return (fleetSize + n - 1) / n; };
+    const auto wanted = std::clamp(share(fleetSizePerReader), minReaders,
+                                   std::max(zones.size(), minReaders));
+    return std::max(wanted, share(maxClientsPerReader));
 }
 
 std::vector<FleetMember> RelayPlan::readers(TimePoint now) const
 {
+    const auto count = readerCount();
     std::vector<FleetMember> chosen;
     std::set<ZoneName> zones;
     for (const bool isAnyZoneAllowed : {false, true}) {
         for (const auto &it : m_ranked) {
             const bool isChosen = std::find(chosen.begin(), chosen.end(), it) != chosen.end();
-            if (chosen.size() >= readerCount() || isChosen || isFailing(it.vm, now)
+            if (chosen.size() >= count || isChosen || isFailing(it.vm, now)
                 || (zones.contains(it.zone) && !isAnyZoneAllowed))
                 continue;
             chosen.push_back(it);
@@ -73,25 +82,27 @@
 
 RelayRole RelayPlan::role(TimePoint now) const
 {
-    if (m_ranked.size() < minFleetSize)
-        return {};
     auto chosen = readers(now);
     if (std::any_of(chosen.begin(), chosen.end(),
                     [this](const auto &it) { return it.vm == m_self.vm; }))
         return {true, {}};
-    const auto failing = countFailing(now);
+    const auto failing = failingVms(now).size();
     if (failing >= maxFailingVms)
         return {};
-    std::stable_partition(chosen.begin(), chosen.end(),
-                          [this](const auto &it) { return it.zone == m_self.zone; });
-    const std::size_t sourceCount = failing > 0 ? maxSources : 1;
-    // VMs without a reader in their zone are spread over the readers of other zones.
-    if (chosen.size() > sourceCount && chosen.front().zone != m_self.zone)
-        std::rotate(chosen.begin(),
-                    chosen.begin() + static_cast<std::ptrdiff_t>(hashOf(m_self.vm) % chosen.size()),
-                    chosen.end());
-    chosen.resize(std::min(chosen.size(), sourceCount));
+    sortByPreference(chosen);
+    chosen.resize(std::min(chosen.size(), failing > 0 ? maxSources : 1));
     return {false, std::move(chosen)};
 }
 
+void RelayPlan::sortByPreference(std::vector<FleetMember> &readers) const
+{
+    const auto remote = std::stable_partition(
+            readers.begin(), readers.end(),
+            [this](const auto &it) { return it.zone == m_self.zone; });
+    // Spreads the VMs of a zone over its readers, and VMs without one over those of other zones.
+    const auto hash = hashOf(m_self.vm);
+    rotateBy({readers.begin(), remote}, hash);
+    rotateBy({remote, readers.end()}, hash);
+}
+
 } // namespace Sapphireladder
--- a/Source/Process/RelayPlan.h
+++ b/Source/Process/RelayPlan.h
@@ -26,15 +26,15 @@
 class RelayPlan
 {
 public:
+    /** Minimum number of readers, so that one failure does not interrupt all VMs. */
+    static constexpr std::size_t minReaders = 2;
     /**
-     * Fleet size from which changes are relayed. If every VM called the store, the load would equal
-     * that of the readers' frequent calls in a fleet of 15, and be seven times that in one of 100.
+     * Fleet size per reader up to which a reader is added for each availability zone. Fewer readers
+     * call the store less; one in each zone saves traffic between zones.
      */
-    static constexpr std::size_t minFleetSize = 40;
-    /** Minimum number of readers. Otherwise there is one per availability zone. */
-    static constexpr std::size_t minReaders = 3;
-    /** Maximum number of readers. Each calls the store about once per second. */
-    static constexpr std::size_t maxReaders = 6;
+    static constexpr std::size_t fleetSizePerReader = 16;
+    /** Largest number of VMs that one reader serves. */
+    static constexpr std::size_t maxClientsPerReader = 128;
     /** Readers that a VM requests changes from while any VM is failing. Otherwise it uses one. */
     static constexpr std::size_t maxSources = 2;
     /**
@@ -49,22 +49,27 @@
         : m_self(std::move(self))
     {}
 
+    /** Sets the VMs that can relay changes. */
     void setFleet(std::span<const FleetMember> members);
+    /** @param vms number of VMs, including those that are not listed */
+    void setFleetSize(std::size_t vms) { m_fleetSize = vms; }
     /** Records that a VM did not respond, or does not follow the store. */
     void recordFailure(const VmId &vm, TimePoint now) { m_failedAt[vm] = now; }
+    /** @return the VMs that failed recently. */
+    std::vector<VmId> failingVms(TimePoint now) const;
     /** @return the current role of this VM. */
     RelayRole role(TimePoint now) const;
-    std::size_t fleetSize() const { return m_ranked.size(); }
 
 private:
     std::vector<FleetMember> readers(TimePoint now) const;
     bool isFailing(const VmId &vm, TimePoint now) const;
-
     std::size_t readerCount() const;
-    std::size_t countFailing(TimePoint now) const;
+    /** Moves the sources that this VM prefers to the front. */
+    void sortByPreference(std::vector<FleetMember> &readers) const;
 
     const FleetMember m_self;
-    /** All VMs including this one, in an order that is the same on every VM. */
+    std::size_t m_fleetSize = 0;
+    /** The listed VMs in an order that is the same on every VM, those with more cores first. */
     std::vector<FleetMember> m_ranked;
     std::map<VmId, TimePoint> m_failedAt;
 };
--- a/Source/Process/StoreFollowRule.cpp
+++ b/Source/Process/StoreFollowRule.cpp
@@ -6,6 +6,7 @@
 
 void StoreFollowRule::start(bool isFirstStart, TimePoint now)
 {
+    m_startedAt = now;
     m_firstUpdateDeadline = now + (isFirstStart ? fleetStartTimeout : firstUpdateTimeout);
 }
 
--- a/Source/Process/StoreFollowRule.h
+++ b/Source/Process/StoreFollowRule.h
@@ -31,6 +31,9 @@
      * there is none, and callers wait for the whole timeout.
      */
     static constexpr Duration firstUpdateTimeout = std::chrono::milliseconds(150);
+    /** Used instead while another VM has accepted the query and prepares its first response, as
+     * after a restart of the whole fleet. */
+    static constexpr Duration pendingQueryTimeout = std::chrono::seconds(1);
     /** Used instead if all VMs start at once: others may read the fleet list up to 1 s later. */
     static constexpr Duration fleetStartTimeout = std::chrono::seconds(2);
     /** How long a VM follows the store after a request. Other VMs send one about every second. */
@@ -47,6 +50,11 @@
     void start(bool isFirstStart, TimePoint now);
     /** Another VM requested changes from this one. */
     void recordRequest(TimePoint now) { m_requestedUntil = now + requestRetention; }
+    /** A VM that accepted this VM's query has not responded yet. */
+    void recordPendingQuery()
+    {
+        m_firstUpdateDeadline = std::max(m_firstUpdateDeadline, m_startedAt + pendingQueryTimeout);
+    }
     /** Another VM that follows the store sent an update. */
     void recordUpdate(TimePoint at) { m_lastUpdateAt = std::max(m_lastUpdateAt.value_or(at), at); }
     /** @return backoff after a VM failed to relay changes. */
@@ -63,6 +71,7 @@
         return m_lastUpdateAt && now - *m_lastUpdateAt <= maxUpdateAge;
     }
 
+    TimePoint m_startedAt{};
     TimePoint m_firstUpdateDeadline{};
     TimePoint m_requestedUntil{};
     std::optional<TimePoint> m_lastUpdateAt;
--- a/Source/Process/Yaml/GatewaySettingsReader.cpp
+++ b/Source/Process/Yaml/GatewaySettingsReader.cpp
@@ -24,6 +24,7 @@
     root.duration("repeat_window", settings.retryWindow, {1s, 10min});
     root.number("asks_per_target", settings.loadProbesPerTargetPerSecond, {0.0, 1e4});
     root.unsignedInteger<std::size_t>("max_connections", settings.maxConnections, {1, 100000});
+    root.number("cores", settings.cores, {0.0, 1024.0});
     root.boolean("first_start", settings.isFirstStart);
     root.finish();
     if (!errors.list().empty())
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -8,6 +8,8 @@
 
 using namespace std::chrono_literals;
 
+/** Candidates below which the search also considers targets outside of this VM's subset. */
+constexpr std::size_t minPreferredCandidates = 6;
 /** Shortest useful time for an attempt: a network round trip and a minimum of work. */
 constexpr Duration minAttemptDuration = 10ms;
 /** Subtracted from the target's time limit, so that its response still arrives in time. */
@@ -22,6 +24,8 @@
 constexpr int minServiceTimeRatio = 2;
 /** Mean Retry-After of a refusal, as a share of the route's latency objective. */
 constexpr double retryAfterObjectiveShare = 0.5;
+/** Randomized part of the Retry-After of a refusal because of paused targets, as a share of it. */
+constexpr double retryAfterSpread = 0.2;
 /** Limits of Retry-After. */
 constexpr Duration minRetryAfter = 50ms;
 constexpr Duration maxRetryAfter = 1s;
@@ -73,21 +77,37 @@
 
 void ProxyExchange::findTarget()
 {
-    m_candidates.clear();
+    m_targetUsableAt.reset();
+    collectCandidates(m_environment.preferredUpstreams(m_service));
+    if (m_candidates.size() < minPreferredCandidates)
+        collectCandidates(m_environment.upstreams(m_service));
     std::vector<SearchCandidate> candidates;
-    for (const auto &it : m_environment.upstreams(m_service)) {
-        const bool isTried = std::find(m_triedTargets.begin(), m_triedTargets.end(), it->spec().id)
-                             != m_triedTargets.end();
-        if (isTried || !it->isUsable())
-            continue;
-        m_candidates.push_back(it);
+    candidates.reserve(m_candidates.size());
+    for (const auto &it : m_candidates)
         candidates.push_back({&it->stats(), it->spec().isLocal, &it->probeBudget()});
+    if (candidates.empty() && m_targetUsableAt) {
+        perform(RefuseStep{RefusalReason::TargetsPaused});
+        return;
     }
     m_search.emplace(m_environment.searchPolicy(), std::move(candidates), searchTimeLimits(),
                      m_environment.random());
     continueSearch();
 }
 
+void ProxyExchange::collectCandidates(std::span<const std::shared_ptr<Upstream>> upstreams)
+{
+    m_candidates.clear();
+    const auto now = m_environment.context().clock.now();
+    for (const auto &it : upstreams) {
+        if (isTried(*it))
+            continue;
+        if (const auto usableAt = it->eligibility().usableAt(now))
+            m_targetUsableAt = std::min(m_targetUsableAt.value_or(*usableAt), *usableAt);
+        if (it->isUsable())
+            m_candidates.push_back(it);
+    }
+}
+
 SearchTimeLimits ProxyExchange::searchTimeLimits() const
 {
     SearchTimeLimits limits{m_deadline, m_deadline, m_environment.expectedServiceTime(*m_route),
@@ -120,6 +140,11 @@
     callAfter(m_waitTimer, weak_from_this(), m_environment.searchPolicy().probeRoundTimeout,
               &ProxyExchange::continueSearch);
     for (const auto i : step.candidates) {
+        // The target may have started to drain, or asked for a pause, while the search waited.
+        if (!m_candidates[i]->isUsable()) {
+            m_search->probeFailed(i);
+            continue;
+        }
         m_candidates[i]->probe(
                 [weak = weak_from_this(), i, upstream = m_candidates[i].get()](bool isAnswered) {
                     const auto self = weak.lock();
@@ -200,6 +225,10 @@
                                         if (const auto self = weak.lock())
                                             self->attemptEnded(std::move(result));
                                     });
+    const RetryContext context{info(), policy, m_attemptCount, now,
+                               m_environment.expectedServiceTime(*m_route)};
+    if (const auto limit = stallLimit(context))
+        callAfter(m_waitTimer, weak_from_this(), *limit, &ProxyExchange::attemptStalled);
 }
 
 std::string ProxyExchange::encodeAttempt(const Upstream &upstream, Duration timeLeft) const
@@ -219,6 +248,7 @@
 
 void ProxyExchange::attemptEnded(AttemptResult result)
 {
+    m_waitTimer.cancel();
     ResponseMetadata metadata;
     if (const auto *answered = std::get_if<Answered>(&result.outcome))
         metadata = m_environment.headerCodec().responseMetadata(answered->response.status,
@@ -269,6 +299,9 @@
         if (notRun->reason == RetryReason::StaleConnection)
             m_triedTargets.pop_back();
     }
+    const bool isOtherTarget = metadata.target && *metadata.target != upstream->spec().id;
+    if (!isOtherTarget && !upstream->isMisaddressed())
+        upstream->responseReceived(metadata);
     if (metadata.load)
         upstream->stats().loadReported(*metadata.load, true, now);
     if (std::holds_alternative<Unknown>(result.outcome))
@@ -307,6 +340,32 @@
     return true;
 }
 
+bool ProxyExchange::hasUntriedTarget() const
+{
+    const auto upstreams = m_environment.upstreams(m_service);
+    return std::any_of(upstreams.begin(), upstreams.end(),
+                       [this](const auto &it) { return it->isUsable() && !isTried(*it); });
+}
+
+bool ProxyExchange::isTried(const Upstream &upstream) const
+{
+    return std::find(m_triedTargets.begin(), m_triedTargets.end(), upstream.spec().id)
+           != m_triedTargets.end();
+}
+
+void ProxyExchange::attemptStalled()
+{
+    if (!m_attempt || !hasUntriedTarget() || !shouldRetry({RetryReason::ResponseTimeout, true}))
+        return;
+    const auto &upstream = m_attempt->upstream;
+    upstream->stats().requestEnded(HealthSignal::Failed, m_environment.context().clock.now());
+    upstream->closeUnansweredSince(m_attempt->sentAt);
+    m_attempt->connection->close();
+    m_attempt.reset();
+    m_mayHaveRun = Unknown{UnknownReason::ResponseTimeout};
+    findTarget();
+}
+
 void ProxyExchange::deadlinePassed()
 {
     if (!m_reply)
@@ -393,10 +452,18 @@
     const auto *refusal = std::get_if<Refusal>(&outcome);
     if (!refusal || refusal->reason == RefusalReason::UnknownService)
         return fields;
-    const auto objective = m_route ? toSeconds(m_route->latencyObjective)
-                                   : toSeconds(maxRetryAfter);
     // Randomized, so that callers that were refused together do not retry at the same time.
     const double jitter = 0.5 + m_environment.random().unit();
+    if (refusal->reason == RefusalReason::TargetsPaused) {
+        const auto pause = *m_targetUsableAt - m_environment.context().clock.now();
+        const auto spread = std::min(pause, maxRetryAfter);
+        fields.push_back(
+                {"Retry-After",
+                 std::to_string(toSeconds(pause) + toSeconds(spread) * retryAfterSpread * jitter)});
+        return fields;
+    }
+    const auto objective = m_route ? toSeconds(m_route->latencyObjective)
+                                   : toSeconds(maxRetryAfter);
     const double seconds = std::clamp(objective * retryAfterObjectiveShare * jitter,
                                       toSeconds(minRetryAfter), toSeconds(maxRetryAfter));
     fields.push_back({"Retry-After", std::to_string(seconds)});
--- a/Source/Request/Loop/ProxyExchange.h
+++ b/Source/Request/Loop/ProxyExchange.h
@@ -34,6 +34,8 @@
     };
 
     void findTarget();
+    /** Sets the candidates to the usable ones of these targets that were not tried yet. */
+    void collectCandidates(std::span<const std::shared_ptr<Upstream>> upstreams);
     void continueSearch();
     void perform(const ProbeStep &step);
     void perform(const SendStep &step);
@@ -45,6 +47,10 @@
     void updateTarget(const AttemptResult &result, const ResponseMetadata &metadata,
                       HealthSignal healthSignal);
     bool shouldRetry(const FailedAttempt &failure);
+    /** Retries elsewhere if the target has not responded although another attempt still fits. */
+    void attemptStalled();
+    bool isTried(const Upstream &upstream) const;
+    bool hasUntriedTarget() const;
     void deadlinePassed();
     SearchTimeLimits searchTimeLimits() const;
     RequestInfo info() const;
@@ -72,6 +78,8 @@
     /** The wait for a free slot is logged once for a request. */
     bool m_hasLoggedWait = false;
     std::vector<TargetId> m_triedTargets;
+    /** When the first paused target is usable again, if a pause excluded any. */
+    std::optional<TimePoint> m_targetUsableAt;
     TargetId m_lastTarget;
     /** Set once an attempt ended without proof that the target did not run the request. */
     std::optional<Unknown> m_mayHaveRun;
--- a/Source/Request/Loop/TrafficEnvironment.h
+++ b/Source/Request/Loop/TrafficEnvironment.h
@@ -23,6 +23,9 @@
     virtual std::shared_ptr<const RouteTable> routes() const = 0;
     /** @return all targets of a service, usable or not. */
     virtual std::span<const std::shared_ptr<Upstream>> upstreams(const ServiceName &service) = 0;
+    /** @return the targets of a service that this VM uses; see selectSubset(). */
+    virtual std::span<const std::shared_ptr<Upstream>>
+    preferredUpstreams(const ServiceName &service) = 0;
     /** @return the retry budget of a service. */
     virtual RetryTokens &retryTokens(const ServiceName &service) = 0;
     virtual WeightedServiceSelector &serviceSelector(const Route &route) = 0;
--- a/Tests/Process/FleetRelayTest.cpp
+++ b/Tests/Process/FleetRelayTest.cpp
@@ -71,13 +71,18 @@
 
     void writeMember(const FleetMember &member, WriteHandler handler) override
     {
+        ++m_content.position;
+        std::erase_if(m_content.members, [&member](const auto &it) { return it.vm == member.vm; });
         m_content.members.push_back(member);
         respond([] { return Result<>(success()); }, std::move(handler));
     }
 
     void readMembers(MembersHandler handler) override
     {
-        respond([this] { return Result<std::vector<FleetMember>>(m_content.members); },
+        respond(
+                [this] {
+                    return Result<FleetList>({m_content.members, m_content.position});
+                },
                 std::move(handler));
     }
 
@@ -153,10 +158,11 @@
     void targetRemoved(const TargetId &) override {}
     void targetRejected(const TargetId &, const Error &) override {}
     void changesComplete() override { ++changes; }
-    void fleetSizeReceived(unsigned) override {}
+    void fleetSizeReceived(unsigned vms) override { fleetSize = vms; }
     void dependencyFailed(Dependency, const Error &) override {}
     void dependencyResponded(Dependency) override {}
     unsigned changes = 0;
+    unsigned fleetSize = 0;
 };
 
 struct RelayVm
@@ -253,8 +259,10 @@
     std::vector<std::unique_ptr<RelayVm>> vms;
 };
 
-// Each VM registers itself and reads the fleet list.
-constexpr std::uint64_t startupCallsPerVm = 2;
+// Each VM reads the fleet list. Relays write their entry and read the list again.
+constexpr std::uint64_t zoneCount = 3;
+constexpr std::uint64_t maxStartupCalls = FleetRelayFixture::vmCount
+                                          + 3 * zoneCount * RelayRegistration::relaysPerZone;
 // A reader follows two tables, one of them with a call every 1.2 s.
 constexpr std::uint64_t maxCallsPerReader = 20;
 constexpr std::uint64_t readerCount = 3;
@@ -265,7 +273,7 @@
 {
     run(5s);
     CHECK(countUpdatedVms() == vmCount);
-    CHECK(content.calls <= vmCount * startupCallsPerVm + readerCount * maxCallsPerReader);
+    CHECK(content.calls <= maxStartupCalls + readerCount * maxCallsPerReader);
 }
 
 // Guards against VMs that abandon a healthy reader after each change, because the reader batches
@@ -356,10 +364,12 @@
     run(5s);
     content.put("target");
     run(1s);
-    const auto i = vms.front()->log.role == "reader" ? 1U : 0U;
-    const auto settings = vms[i]->settings;
-    vms[i]->session.stop();
-    vms.erase(vms.begin() + i);
+    const auto it = std::find_if(vms.begin(), vms.end(),
+                                 [](const auto &vm) { return vm->log.role != "reader"; });
+    REQUIRE(it != vms.end());
+    const auto i = static_cast<std::size_t>(it - vms.begin());
+    (*it)->session.stop();
+    vms.erase(it);
     run(200ms);
     const auto callsBefore = content.calls;
     addVm(i, false);
@@ -368,4 +378,16 @@
     CHECK(content.calls - callsBefore <= 1 + readerCount * 2);
 }
 
+// Guards against VMs whose budgets are those of a much larger or smaller fleet, although no VM
+// knows all others.
+TEST_CASE_FIXTURE(FleetRelayFixture, "fleet relay, all VMs start, every VM learns the fleet size")
+{
+    run(7s);
+    CHECK(content.members.size() < vmCount / 2);
+    for (const auto &it : vms) {
+        CHECK(it->feed.fleetSize >= vmCount);
+        CHECK(it->feed.fleetSize <= vmCount + 1);
+    }
+}
+
 TEST_SUITE_END();
--- a/Tests/Process/RelayTest.cpp
+++ b/Tests/Process/RelayTest.cpp
@@ -19,7 +19,9 @@
     {
         return {VmId("vm-" + std::to_string(i)),
                 ZoneName("z" + std::to_string(i % 4)),
-                {"10.0.0.1", static_cast<std::uint16_t>(7000 + i)}};
+                {"10.0.0.1", static_cast<std::uint16_t>(7000 + i)},
+                0.2,
+                std::nullopt};
     }
 
     RelayPlan makePlan(int i) const
@@ -58,14 +60,51 @@
     }
 }
 
-TEST_CASE_FIXTURE(RelayPlanFixture, "relay plan, small fleet, lets every VM read the store")
+// Guards against a small fleet in which most VMs call the store.
+TEST_CASE_FIXTURE(RelayPlanFixture, "relay plan, small fleet, has two readers")
 {
-    fleet.resize(RelayPlan::minFleetSize - 1);
+    fleet.resize(20);
+    CHECK(countReaders() == RelayPlan::minReaders);
+}
+
+// Guards against a VM without known relays that receives no changes.
+TEST_CASE_FIXTURE(RelayPlanFixture, "relay plan, empty fleet list, lets the VM read the store")
+{
+    fleet.clear();
     const auto role = makePlan(0).role(clock.now());
     CHECK_FALSE(role.isReader);
     CHECK(role.sources.empty());
 }
 
+// Guards against a VM with a slow link that feeds a hundred others.
+TEST_CASE_FIXTURE(RelayPlanFixture, "relay plan, some VMs have more cores, selects them as readers")
+{
+    for (int i = 40; i < 60; ++i)
+        fleet[static_cast<std::size_t>(i)].cores = 0.5;
+    for (int i = 0; i < 60; ++i) {
+        const auto role = makePlan(i).role(clock.now());
+        for (const auto &it : role.sources)
+            CHECK(it.cores >= 0.5);
+        CHECK((i >= 40 || !role.isReader));
+    }
+}
+
+// Guards against a reader that more VMs query than it can serve.
+TEST_CASE_FIXTURE(RelayPlanFixture, "relay plan, very large fleet, spreads VMs over its readers")
+{
+    constexpr int vmCount = 2400;
+    std::map<VmId, std::size_t> clients;
+    for (int i = 100; i < 100 + vmCount; ++i) {
+        auto plan = makePlan(i);
+        plan.setFleetSize(vmCount);
+        const auto role = plan.role(clock.now());
+        REQUIRE(role.sources.size() == 1);
+        ++clients[role.sources.front().vm];
+    }
+    for (const auto &[vm, n] : clients)
+        CHECK(n <= 2 * RelayPlan::maxClientsPerReader);
+}
+
 // Guards against VMs that receive no changes after a reader fails.
 TEST_CASE_FIXTURE(RelayPlanFixture, "relay plan, reader fails, replaces it and selects two sources")
 {
@@ -243,13 +282,52 @@
         CHECK_FALSE(decodeRelayChanges(it));
     }
     for (const bool isImmediate : {false, true}) {
-        const RelayQuery query{{3, 4}, isImmediate};
+        const RelayQuery query{VmId("vm 1&x"), {3, 4}, 5, isImmediate};
         CHECK(decodeRelayTarget(encodeRelayTarget(query)) == query);
     }
     for (const auto *it :
-         {"/", "/relay/changes", "/relay/changes?routes=1", "/relay/changes?routes=1&targets=x",
-          "/relay/changes?routes=1&targets=2&z=3"})
+         {"/", "/relay/changes", "/relay/changes?routes=1",
+          "/relay/changes?routes=1&targets=x&fleet=3&vm=a",
+          "/relay/changes?routes=1&targets=2&fleet=3", "/relay/changes?routes=1&targets=2&vm=a",
+          "/relay/changes?routes=1&targets=2&fleet=3&vm=a&z=3",
+          "/relay/changes?routes=1&routes=2&targets=2&fleet=3&vm=a"})
         CHECK_FALSE(decodeRelayTarget(it));
 }
 
+// Guards against readers that send the full table of a large fleet uncompressed to every VM.
+TEST_CASE_FIXTURE(RelayCodecFixture, "relay codec, full table of 990 targets, is compressed")
+{
+    std::size_t plainBytes = 0;
+    for (int i = 0; i < 990; ++i) {
+        const auto value =
+                R"({"service":"botolchin","address":"10.1.)" + std::to_string(i / 200) + "."
+                + std::to_string(i % 200)
+                + R"(:8080","zone":"kolkata-dc","version":"v1","slots":6,"state":"ready",)"
+                + R"("warmup_left_ms":0,"seq":1,"born":17649)" + std::to_string(i * 7919) + "}";
+        plainBytes += value.size();
+        changes.tables[1].rows.push_back(
+                {"i-" + std::to_string(i * 104729), value, static_cast<std::uint64_t>(i), false});
+    }
+    const auto text = encodeRelayChanges(changes);
+    CHECK(text.size() < plainBytes / 4);
+    const auto decoded = decodeRelayChanges(text);
+    REQUIRE(decoded);
+    CHECK(decoded.value().tables[1].rows == changes.tables[1].rows);
+    CHECK_FALSE(decodeRelayChanges(text.substr(0, text.size() / 2)));
+}
+
+TEST_CASE_FIXTURE(RelayCodecFixture, "relay codec, fleet list and size, are decoded as encoded")
+{
+    changes.fleetSize = 472;
+    changes.fleet = FleetList{{{VmId("a"), ZoneName("z"), {"10.0.0.1", 7000}, 0.5, std::nullopt},
+                               {VmId("b"), ZoneName("z"), {"10.0.0.2", 7000}, 0.1, std::nullopt}},
+                              12};
+    const auto decoded = decodeRelayChanges(encodeRelayChanges(changes));
+    REQUIRE(decoded);
+    REQUIRE(decoded.value().fleet);
+    CHECK(decoded.value().fleetSize == 472);
+    CHECK(decoded.value().fleet->members == changes.fleet->members);
+    CHECK(decoded.value().fleet->position == 12);
+}
+
 TEST_SUITE_END();
