Request: Search all targets when the subset has no free slot

Change: a search that would wait for a free slot, or refuse, starts again with all targets of the service; other targets get 0.4 of the load probes. GatewayTest shows the pattern.

--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -15,12 +15,12 @@
  */
 constexpr double usedProbeShare = 0.85;
 /**
- * Part of the load probes to a target that the VMs with the target in their subsets may use. Half
- * of what is left covers targets that are in more subsets than the mean.
+ * Part of the load probes to a target that the VMs with the target in their subsets may use. The
+ * rest is headroom for targets that are in more subsets than the mean.
  */
 constexpr double subsetProbeShare = 0.5;
 /** Part of the load probes to a target that the other VMs may use. */
-constexpr double otherProbeShare = 0.25;
+constexpr double otherProbeShare = 0.4;
 /** Initial estimate of a route's service time, as a fraction of its latency objective. */
 constexpr double initialServiceTimeShare = 0.4;
 /** Weight of a new sample in the moving average of a route's service time. */
--- a/Source/Process/PlatformFeed.h
+++ b/Source/Process/PlatformFeed.h
@@ -41,7 +41,7 @@
     virtual void targetRejected(const TargetId &id, const Error &error) = 0;
     /** All changes of one response were delivered. They take effect together. */
     virtual void changesComplete() = 0;
-    /** The fleet list was read. @param vms upper estimate of the number of running VMs */
+    /** The size of the fleet changed. @param vms upper estimate of the number of running VMs */
     virtual void fleetSizeReceived(unsigned vms) = 0;
     /** A call to a dependency failed. Called for each failure. */
     virtual void dependencyFailed(Dependency dependency, const Error &error) = 0;
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -78,9 +78,11 @@
 void ProxyExchange::findTarget()
 {
     m_targetUsableAt.reset();
-    collectCandidates(m_environment.preferredUpstreams(m_service));
+    const auto all = m_environment.upstreams(m_service);
+    const auto preferred = m_environment.preferredUpstreams(m_service);
+    collectCandidates(m_isSearchWidened ? all : preferred);
     if (m_candidates.size() < minPreferredCandidates)
-        collectCandidates(m_environment.upstreams(m_service));
+        collectCandidates(all);
     std::vector<SearchCandidate> candidates;
     candidates.reserve(m_candidates.size());
     for (const auto &it : m_candidates)
@@ -161,8 +163,21 @@
     }
 }
 
+bool ProxyExchange::widenSearch()
+{
+    const bool isSubset = m_environment.preferredUpstreams(m_service).size()
+                          < m_environment.upstreams(m_service).size();
+    if (!isSubset || std::exchange(m_isSearchWidened, true))
+        return false;
+    findTarget();
+    return true;
+}
+
 void ProxyExchange::perform(const WaitStep &step)
 {
+    // Other targets may have free slots while those of the subset have none.
+    if (step.isForFreeSlot && widenSearch())
+        return;
     if (step.isForFreeSlot && !std::exchange(m_hasLoggedWait, true))
         m_environment.events().record(EventId::RequestWaits,
                                       {{"request", m_callerMetadata.id.string()},
@@ -187,6 +202,8 @@
 void ProxyExchange::perform(const RefuseStep &step)
 {
     const auto reason = step.reason;
+    if (m_search && widenSearch())
+        return;
     m_search.reset();
     if (m_serverErrorResponse)
         finish(std::move(*m_serverErrorResponse));
--- a/Source/Request/Loop/ProxyExchange.h
+++ b/Source/Request/Loop/ProxyExchange.h
@@ -34,6 +34,11 @@
     };
 
     void findTarget();
+    /**
+     * Restarts the search with all targets of the service if it considers the subset only.
+     * @return whether it did.
+     */
+    bool widenSearch();
     /** Sets the candidates to the usable ones of these targets that were not tried yet. */
     void collectCandidates(std::span<const std::shared_ptr<Upstream>> upstreams);
     void continueSearch();
@@ -72,6 +77,8 @@
     LoopTimer m_deadlineTimer;
     LoopTimer m_waitTimer;
     std::optional<TargetSearch> m_search;
+    /** Whether the search considers all targets instead of this VM's subset. */
+    bool m_isSearchWidened = false;
     std::vector<std::shared_ptr<Upstream>> m_candidates;
     std::optional<Attempt> m_attempt;
     unsigned m_attemptCount = 0;
--- a/Tests/Process/GatewayControlTest.cpp
+++ b/Tests/Process/GatewayControlTest.cpp
@@ -142,4 +142,43 @@
     CHECK(sink.last->targets.empty());
 }
 
+// Guards against a new snapshot, and a search of all targets for the subset, with each VM that
+// comes or goes in a large fleet.
+TEST_CASE_FIXTURE(GatewayControlFixture, "gateway control, fleet shrinks slightly, keeps the size")
+{
+    control.fleetSizeReceived(100);
+    control.changesComplete();
+    REQUIRE(sink.last);
+    CHECK(sink.last->fleetSize == 100);
+    control.fleetSizeReceived(95);
+    control.changesComplete();
+    CHECK(sink.last->fleetSize == 100);
+    control.fleetSizeReceived(101);
+    control.changesComplete();
+    CHECK(sink.last->fleetSize == 101);
+    control.fleetSizeReceived(80);
+    control.changesComplete();
+    CHECK(sink.last->fleetSize == 80);
+}
+
+// Guards against a record that is valid again after a full read, and then not recognized as
+// invalid.
+TEST_CASE_FIXTURE(
+        GatewayControlFixture,
+        "gateway control, record alternates between invalid and valid, is not used while invalid")
+{
+    const auto error = makeError(CoreError::InvalidEndpoint, "x");
+    const TargetRecord records[] = {target("a")};
+    for (int i = 0; i < 2; ++i) {
+        control.targetsReceived(records);
+        control.changesComplete();
+        CHECK(sink.last->targets.size() == 1);
+        control.targetRejected(TargetId("a"), error);
+        control.targetRejected(TargetId("a"), error);
+        control.changesComplete();
+        CHECK(sink.last->targets.empty());
+    }
+    CHECK(events.count(EventId::TargetRecordInvalid) == 2);
+}
+
 TEST_SUITE_END();
--- a/Tests/Process/GatewayTest.cpp
+++ b/Tests/Process/GatewayTest.cpp
@@ -47,6 +47,8 @@
     }
     unsigned requestCount() const { return m_requestCount; }
     unsigned probeCount() const { return m_probeCount; }
+    /** Sets the number of requests that the target reports as running, of six slots. */
+    void setReportedLoad(unsigned load) { m_reportedLoad = load; }
     /** @return connections on which bytes arrived after a request without a response. */
     unsigned reusedSilentConnections() const { return m_reusedSilentConnections; }
 
@@ -68,7 +70,8 @@
             if (head.starts_with("GET /health")) {
                 ++m_probeCount;
                 socket.send("HTTP/1.1 200 OK\r\nInstance-Id: " + m_id
-                            + "\r\nServer-Load: 0,0,6,100\r\nContent-Length: 0\r\n\r\n");
+                            + "\r\nServer-Load: " + std::to_string(m_reportedLoad)
+                            + ",0,6,100\r\nContent-Length: 0\r\n\r\n");
                 continue;
             }
             ++m_requestCount;
@@ -88,6 +91,7 @@
     Responder m_responder;
     std::atomic<unsigned> m_requestCount{0};
     std::atomic<unsigned> m_probeCount{0};
+    std::atomic<unsigned> m_reportedLoad{0};
     std::atomic<unsigned> m_reusedSilentConnections{0};
     ScriptedServer m_server{[this](RawSocket &socket, unsigned) { serve(socket); }};
 };
@@ -307,4 +311,25 @@
     CHECK(targets[0]->requestCount() == 1);
 }
 
+// Load pattern: the targets of this VM's subset are full, and others of the service have free
+// slots. Guards against requests that are refused, or wait until they are late.
+TEST_CASE_FIXTURE(GatewayFixture, "gateway, subset of targets full, uses free ones outside of it")
+{
+    const auto count = SubsetPolicy().size + 8;
+    std::vector<SubsetTarget> subsetTargets;
+    for (std::size_t i = 0; i < count; ++i) {
+        addTarget("t-" + std::to_string(i), respond("200 OK", ""));
+        subsetTargets.push_back({records.back().id, false});
+        records.back().zone = ZoneName("elsewhere");
+    }
+    for (const auto i : selectSubset(subsetTargets, settings.vm, {}))
+        targets[i]->setReportedLoad(6);
+    publish();
+    CHECK(succeeded(20) == 20);
+    unsigned servedByFull = 0;
+    for (const auto i : selectSubset(subsetTargets, settings.vm, {}))
+        servedByFull += targets[i]->requestCount();
+    CHECK(servedByFull == 0);
+}
+
 TEST_SUITE_END();
--- a/Tests/Process/StoreFollowRuleTest.cpp
+++ b/Tests/Process/StoreFollowRuleTest.cpp
@@ -111,4 +111,18 @@
     CHECK(rule.nextLinkBackoff() == StoreFollowRule::minLinkBackoff);
 }
 
+// Load pattern: all VMs of a large fleet restart at once. Guards against hundreds of VMs that read
+// all tables from the store, because the relays need a moment to read them.
+TEST_CASE_FIXTURE(StoreFollowRuleFixture,
+                  "StoreFollowRule, another VM accepted the query, waits longer for its response")
+{
+    clock.advance(StoreFollowRule::firstUpdateTimeout / 2);
+    rule.recordPendingQuery();
+    clock.advance(StoreFollowRule::firstUpdateTimeout);
+    CHECK(decide() == StoreFollowMode::Unchanged);
+    rule.recordPendingQuery();
+    clock.advance(StoreFollowRule::pendingQueryTimeout);
+    CHECK(decide() == StoreFollowMode::Follow);
+}
+
 TEST_SUITE_END();
