--- a/review/Standin/Caller.cpp
+++ b/review/Standin/Caller.cpp
@@ -9,11 +9,11 @@
     CallerResult result;
     result.sentAt = m_record.now();
     m_record.add("caller sends " + request.id + ' ' + request.method + ' ' + request.path);
-    std::string text = request.method + ' ' + request.path + " HTTP/1.1\r\nHost: " + host
-                       + "\r\nAttempt-Id: " + request.id
-                       + "\r\nDeadline-Ms: " + std::to_string(request.deadlineMs) + "\r\n";
+    std::string text = request.method + ' ' + request.path + " HTTP/1.1\r\n"
+                       + encodeField("Host", host) + encodeField(attemptIdField, request.id)
+                       + encodeField(deadlineField, std::to_string(request.deadlineMs));
     if (request.method != "GET")
-        text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+        text += encodeField("Content-Length", std::to_string(request.body.size()));
     text += "\r\n" + request.body;
     HttpMessage response;
     const bool isAnswered = m_connection && m_connection->write(text)
@@ -22,7 +22,7 @@
     result.endedAt = m_record.now();
     if (isAnswered) {
         result.status = response.status();
-        result.isSigned = !response.field("Server-Signature").empty();
+        result.isSigned = !response.field(signatureField).empty();
         result.body = response.body;
     }
     if (!isAnswered || response.field("Connection") == "close"
--- a/review/Standin/Config.cpp
+++ b/review/Standin/Config.cpp
@@ -23,7 +23,7 @@
                          {"prefix", it.prefix},
                          {"kind", it.kind},
                          {"timeout_ms", it.timeoutMs},
-                         {"target_latency_ms", it.targetLatencyMs},
+                         {latencyKey, it.targetLatencyMs},
                          {"priority", 1},
                          {"service", it.service},
                          {"max_attempts", 2}});
--- a/review/Standin/Http.cpp
+++ b/review/Standin/Http.cpp
@@ -208,6 +208,11 @@
     }
 }
 
+std::string encodeField(std::string_view name, std::string_view value)
+{
+    return std::string(name).append(": ").append(value).append("\r\n");
+}
+
 std::string encodeResponse(int status, std::string_view fields, std::string_view body)
 {
     std::string text = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
--- a/review/Standin/Http.h
+++ b/review/Standin/Http.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "PlatformNames.inc"
+
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -81,6 +83,8 @@
 std::unique_ptr<HttpConnection> connectTo(unsigned port);
 /** @return a port of 127.0.0.1 that is free now. */
 unsigned findFreePort();
+/** @return a line of a head, with its end. */
+std::string encodeField(std::string_view name, std::string_view value);
 /** Encodes a response with a Content-Length. @param fields complete lines, each with its end */
 std::string encodeResponse(int status, std::string_view fields, std::string_view body);
 
--- a/review/Standin/Store.cpp
+++ b/review/Standin/Store.cpp
@@ -111,12 +111,12 @@
     const auto target = request.target();
     const auto table = parameter(target, "table");
     Json response;
-    if (target.starts_with("/rows-tx")) {
+    if (target.starts_with(writeCall)) {
         for (const auto &it : Json::parse(request.body)["puts"])
             store(it["table"], it["key"], {it["value"].get<std::string>(), 0, false});
         const std::lock_guard lock(m_mutex);
         response = {{"ver", m_version}};
-    } else if (target.starts_with("/rows-get")) {
+    } else if (target.starts_with(readCall)) {
         response = read(table);
     } else {
         {
--- a/review/Standin/Store.h
+++ b/review/Standin/Store.h
@@ -12,7 +12,7 @@
 namespace Review {
 
 /**
- * The platform's store, form "table": rows-get, rows-feed and rows-tx. Each VM calls it on a port
+ * The platform's store, form "table", as far as the VMs call it. Each VM calls it on a port
  * of its own, so that the store can treat VMs differently.
  */
 class Store
--- a/review/Standin/Target.cpp
+++ b/review/Standin/Target.cpp
@@ -1,5 +1,7 @@
 #include "Target.h"
 
+#include <nlohmann/json.hpp>
+
 #include <thread>
 
 namespace Review {
@@ -20,10 +22,16 @@
 
 std::string Target::entry(const std::string &state, unsigned sequence) const
 {
-    return R"({"service":")" + m_options.service + R"(","address":"127.0.0.1:)"
-           + std::to_string(m_server.port()) + R"(","zone":"zone-a","version":"v1","slots":)"
-           + std::to_string(m_options.slots) + R"(,"state":")" + state
-           + R"(","warmup_left_ms":0,"born":1790000000000,"seq":)" + std::to_string(sequence) + "}";
+    const nlohmann::json entry = {{"service", m_options.service},
+                                  {"address", "127.0.0.1:" + std::to_string(m_server.port())},
+                                  {"zone", "zone-a"},
+                                  {"version", "v1"},
+                                  {"slots", m_options.slots},
+                                  {"state", state},
+                                  {warmupKey, 0},
+                                  {"born", 1790000000000},
+                                  {"seq", sequence}};
+    return entry.dump();
 }
 
 void Target::setFull(bool isFull)
@@ -53,7 +61,8 @@
         if (!lateCopy.empty()) {
             m_record.add("target " + m_options.id + " sends a second copy of "
                          + lateCopy.substr(0, lateCopy.find('\r')) + " where the response to "
-                         + request.startLine + ' ' + request.field("Attempt-Id") + " is expected");
+                         + request.startLine + ' ' + request.field(attemptIdField)
+                         + " is expected");
             if (!connection.write(std::exchange(lateCopy, {})))
                 return;
         }
@@ -78,16 +87,16 @@
         if (m_options.tellsLoad)
             return health();
         if (!takeSlot(Clock::now() + maxProbeWait))
-            return shed("Instance-Id: " + m_options.id + "\r\n");
+            return shed(encodeField(instanceIdField, m_options.id));
         releaseSlot();
         return health();
     }
-    const auto expected = request.field("Expect-Instance");
+    const auto expected = request.field(expectInstanceField);
     if (!expected.empty() && expected != m_options.id)
-        return encodeResponse(421, "Instance-Id: " + m_options.id + "\r\n", {});
-    const auto limit = std::strtoul(request.field("Deadline-Ms").c_str(), nullptr, 10);
+        return encodeResponse(421, encodeField(instanceIdField, m_options.id), {});
+    const auto limit = std::strtoul(request.field(deadlineField).c_str(), nullptr, 10);
     if (!takeSlot(Clock::now() + Milliseconds(limit)))
-        return shed("Attempt-Id: " + request.field("Attempt-Id") + "\r\n");
+        return shed(encodeField(attemptIdField, request.field(attemptIdField)));
     auto response = run(connection, request);
     releaseSlot();
     return response;
@@ -95,25 +104,26 @@
 
 std::string Target::load()
 {
-    constexpr const char *keepAlive = "Keep-Alive: timeout=10\r\n";
+    auto keepAlive = encodeField("Keep-Alive", "timeout=10");
     if (!m_options.tellsLoad)
         return keepAlive;
     const std::lock_guard lock(m_mutex);
     const auto running = m_isFull ? m_options.slots : m_running;
     const auto waiting = m_isFull ? m_options.maxWaiting : m_waiting;
-    return "Server-Load: " + std::to_string(running) + ',' + std::to_string(waiting) + ','
-           + std::to_string(m_options.slots) + ",100\r\n" + keepAlive;
+    return encodeField(loadField, std::to_string(running) + ',' + std::to_string(waiting) + ','
+                                          + std::to_string(m_options.slots) + ",100")
+           + keepAlive;
 }
 
 std::string Target::health()
 {
     return encodeResponse(m_reportsUnhealthy ? 503 : 200,
-                          "Instance-Id: " + m_options.id + "\r\n" + load(), {});
+                          encodeField(instanceIdField, m_options.id) + load(), {});
 }
 
 std::string Target::shed(const std::string &idField)
 {
-    return encodeResponse(503, idField + "Not-Executed: 1\r\n" + load(), {});
+    return encodeResponse(503, idField + encodeField(notExecutedField, "1") + load(), {});
 }
 
 bool Target::takeSlot(Clock::time_point deadline)
@@ -139,8 +149,8 @@
 
 std::string Target::run(HttpConnection &connection, const HttpMessage &request)
 {
-    const auto id = request.field("Attempt-Id");
-    const auto limit = std::strtoul(request.field("Deadline-Ms").c_str(), nullptr, 10);
+    const auto id = request.field(attemptIdField);
+    const auto limit = std::strtoul(request.field(deadlineField).c_str(), nullptr, 10);
     const auto deadline = Clock::now() + Milliseconds(limit);
     const auto end = Clock::now() + m_options.workTime(request);
     m_record.add("target " + m_options.id + " runs " + id);
@@ -167,8 +177,8 @@
     m_record.add("target " + m_options.id + " responds " + std::to_string(status) + " to " + id);
     const std::string body = "result of " + id;
     return encodeResponse(status,
-                          "Attempt-Id: " + id + "\r\nServer-Signature: " + m_options.id + '.' + id
-                                  + "\r\n" + load(),
+                          encodeField(attemptIdField, id)
+                                  + encodeField(signatureField, m_options.id + '.' + id) + load(),
                           body);
 }
 
