Request: Keep a stalled attempt while another target is searched for

Cause: near the deadline ProxyExchange closed the first attempt's connection and spent a retry before it knew of a target for another attempt. If all others were full, the search refused and nothing was left.

Now the attempt goes on. Another target is searched for beside it, the retry budget is asked when one is found, and the first response that can be delivered ends the request. Event 317 tells a stall from a deadline; both were event 311 before. At its deadline a request delivers the server error of an earlier attempt, if there is one, rather than a 504 of its own.

--- a/Source/Core/Event.cpp
+++ b/Source/Core/Event.cpp
@@ -30,6 +30,7 @@
         {EventId::RequestUnknown, Severity::Warning, "request-unknown"},
         {EventId::RequestAbandoned, Severity::Info, "request-abandoned"},
         {EventId::RequestWaits, Severity::Info, "request-waits"},
+        {EventId::RequestStalled, Severity::Info, "request-stalled"},
         {EventId::LogLinesDropped, Severity::Warning, "log-lines-dropped"},
         {EventId::TargetEjected, Severity::Warning, "target-ejected"},
         {EventId::TargetReinstated, Severity::Info, "target-reinstated"},
--- a/Source/Core/Event.h
+++ b/Source/Core/Event.h
@@ -38,6 +38,7 @@
     RequestUnknown = 314,
     RequestAbandoned = 315,
     RequestWaits = 316,
+    RequestStalled = 317,
     LogLinesDropped = 390,
     TargetEjected = 400,
     TargetReinstated = 401,
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -193,10 +193,12 @@
     m_waitTimer.cancel();
     m_search.reset();
     // The target may have started to drain while the search waited for a free slot.
-    if (upstream->isUsable())
-        send(upstream);
-    else
+    if (!upstream->isUsable())
         findTarget();
+    else if (m_isHedging && !shouldRetry({RetryReason::ResponseTimeout, true}))
+        awaitAttempts();
+    else
+        send(upstream);
 }
 
 void ProxyExchange::perform(const RefuseStep &step)
@@ -204,11 +206,10 @@
     const auto reason = step.reason;
     if (m_search && widenSearch())
         return;
-    m_search.reset();
-    if (m_serverErrorResponse)
-        finish(std::move(*m_serverErrorResponse));
+    if (m_attempts.empty())
+        finishFailed(reason);
     else
-        refuse(reason);
+        awaitAttempts();
 }
 
 void ProxyExchange::send(const std::shared_ptr<Upstream> &upstream)
@@ -216,16 +217,18 @@
     const auto now = m_environment.context().clock.now();
     const auto timeLeft = m_deadline - now - responseMargin;
     if (timeLeft < minAttemptDuration) {
-        refuse(RefusalReason::TimeTooShort);
+        perform(RefuseStep{RefusalReason::TimeTooShort});
         return;
     }
+    m_isHedging = false;
     const RetryPolicy policy{.maxAttempts = m_route->maxAttempts};
     const auto reuse = reusePolicyFor(info(), policy, m_attemptCount);
     ++m_attemptCount;
     m_lastTarget = upstream->spec().id;
     m_triedTargets.push_back(m_lastTarget);
-    m_attempt = Attempt{upstream, upstream->acquire(reuse), now, upstream->stats().cost(now)};
-    logAttempt(*m_attempt);
+    const auto &attempt = m_attempts.emplace_back(Attempt{
+            m_attemptCount, upstream, upstream->acquire(reuse), now, upstream->stats().cost(now)});
+    logAttempt(attempt);
     upstream->stats().requestSent();
     UpstreamRequest request;
     request.bytes = encodeAttempt(*upstream, timeLeft);
@@ -237,11 +240,12 @@
         const auto metadata = codec.responseMetadata(response.status, response.headers);
         return metadata.request ? *metadata.request == id : response.status >= firstErrorStatus;
     };
-    m_attempt->connection->exchange(std::move(request), m_deadline - now,
-                                    [weak = weak_from_this()](AttemptResult result) {
-                                        if (const auto self = weak.lock())
-                                            self->attemptEnded(std::move(result));
-                                    });
+    attempt.connection->exchange(
+            std::move(request), m_deadline - now,
+            [weak = weak_from_this(), number = attempt.number](AttemptResult result) {
+                if (const auto self = weak.lock())
+                    self->attemptEnded(number, std::move(result));
+            });
     const RetryContext context{info(), policy, m_attemptCount, now,
                                m_environment.expectedServiceTime(*m_route)};
     if (const auto limit = stallLimit(context))
@@ -263,16 +267,21 @@
     return text;
 }
 
-void ProxyExchange::attemptEnded(AttemptResult result)
+void ProxyExchange::attemptEnded(unsigned number, AttemptResult result)
 {
-    m_waitTimer.cancel();
+    const auto it = std::find_if(
+            m_attempts.begin(), m_attempts.end(),
+            [number](const auto &attempt) { return attempt.number == number; });
+    if (it == m_attempts.end())
+        return;
+    const auto attempt = std::move(*it);
+    m_attempts.erase(it);
     ResponseMetadata metadata;
     if (const auto *answered = std::get_if<Answered>(&result.outcome))
         metadata = m_environment.headerCodec().responseMetadata(answered->response.status,
                                                                 answered->response.headers);
     const auto evaluation = evaluateAttempt(result, metadata, m_route->idempotent);
-    updateTarget(result, metadata, evaluation.healthSignal);
-    m_attempt.reset();
+    updateTarget(attempt, result, metadata, evaluation.healthSignal);
     if (const auto *unknown = std::get_if<Unknown>(&result.outcome))
         m_mayHaveRun = *unknown;
     auto *answered = std::get_if<Answered>(&result.outcome);
@@ -285,24 +294,20 @@
         m_serverErrorResponse = std::move(answered->response);
     }
     if (shouldRetry(*evaluation.failure)) {
+        m_isHedging = false;
         findTarget();
-        return;
+    } else if (m_attempts.empty()) {
+        finishFailed(evaluation.failure->reason == RetryReason::Shed
+                             ? RefusalReason::TargetShed
+                             : RefusalReason::TargetUnreachable);
     }
-    if (m_serverErrorResponse)
-        finish(std::move(*m_serverErrorResponse));
-    else if (m_mayHaveRun)
-        finish(*m_mayHaveRun);
-    else if (evaluation.failure->reason == RetryReason::Shed)
-        refuse(RefusalReason::TargetShed);
-    else
-        refuse(RefusalReason::TargetUnreachable);
 }
 
-void ProxyExchange::updateTarget(const AttemptResult &result, const ResponseMetadata &metadata,
-                                 HealthSignal healthSignal)
+void ProxyExchange::updateTarget(const Attempt &attempt, const AttemptResult &result,
+                                 const ResponseMetadata &metadata, HealthSignal healthSignal)
 {
     const auto now = m_environment.context().clock.now();
-    const auto &upstream = m_attempt->upstream;
+    const auto &upstream = attempt.upstream;
     upstream->stats().requestEnded(healthSignal, now);
     if (const auto *notRun = std::get_if<NotRun>(&result.outcome)) {
         if (notRun->reason == RetryReason::Misdirected) {
@@ -314,7 +319,7 @@
         }
         // Nothing reached the target over the stale connection, so it may be tried again.
         if (notRun->reason == RetryReason::StaleConnection)
-            m_triedTargets.pop_back();
+            std::erase(m_triedTargets, upstream->spec().id);
     }
     const bool isOtherTarget = metadata.target && *metadata.target != upstream->spec().id;
     if (!isOtherTarget && !upstream->isMisaddressed())
@@ -322,11 +327,10 @@
     if (metadata.load)
         upstream->stats().loadReported(*metadata.load, true, now);
     if (std::holds_alternative<Unknown>(result.outcome))
-        upstream->closeUnansweredSince(m_attempt->sentAt);
-    upstream->release(m_attempt->connection);
+        upstream->closeUnansweredSince(attempt.sentAt);
+    upstream->release(attempt.connection);
     if (healthSignal == HealthSignal::Served) {
-        const auto serviceTime = duration_cast<Duration>((now - m_attempt->sentAt)
-                                                         / m_attempt->cost);
+        const auto serviceTime = duration_cast<Duration>((now - attempt.sentAt) / attempt.cost);
         m_environment.recordServiceTime(*m_route, serviceTime);
     }
 }
@@ -372,33 +376,47 @@
 
 void ProxyExchange::attemptStalled()
 {
-    if (!m_attempt || !hasUntriedTarget() || !shouldRetry({RetryReason::ResponseTimeout, true}))
+    if (m_attempts.empty())
+        return;
+    auto &attempt = m_attempts.back();
+    attempt.isStalled = true;
+    attempt.upstream->closeUnansweredSince(attempt.sentAt);
+    m_environment.events().record(
+            EventId::RequestStalled,
+            {{"request", m_callerMetadata.id.string()},
+             {"target", attempt.upstream->spec().id.string()},
+             {"attempt", std::to_string(attempt.number)},
+             {"left_ms", formatMilliseconds(m_deadline - m_environment.context().clock.now())}});
+    if (!hasUntriedTarget())
         return;
-    const auto &upstream = m_attempt->upstream;
-    upstream->stats().requestEnded(HealthSignal::Failed, m_environment.context().clock.now());
-    upstream->closeUnansweredSince(m_attempt->sentAt);
-    m_attempt->connection->close();
-    m_attempt.reset();
-    m_mayHaveRun = Unknown{UnknownReason::ResponseTimeout};
+    m_isHedging = true;
     findTarget();
 }
 
+void ProxyExchange::awaitAttempts()
+{
+    m_isHedging = false;
+    m_search.reset();
+    m_waitTimer.cancel();
+}
+
+void ProxyExchange::closeAttempts(HealthSignal healthSignal)
+{
+    const auto now = m_environment.context().clock.now();
+    for (const auto &it : std::exchange(m_attempts, {})) {
+        it.upstream->stats().requestEnded(it.isStalled ? HealthSignal::Failed : healthSignal, now);
+        it.connection->close();
+    }
+}
+
 void ProxyExchange::deadlinePassed()
 {
     if (!m_reply)
         return;
-    m_search.reset();
-    if (m_attempt) {
-        m_attempt->upstream->stats().requestEnded(HealthSignal::Failed,
-                                                  m_environment.context().clock.now());
-        m_attempt->connection->close();
-        m_attempt.reset();
-        finish(Unknown{UnknownReason::ResponseTimeout});
-    } else if (m_serverErrorResponse) {
-        finish(std::move(*m_serverErrorResponse));
-    } else {
-        refuse(RefusalReason::TimeTooShort);
-    }
+    if (!m_attempts.empty())
+        m_mayHaveRun = Unknown{UnknownReason::ResponseTimeout};
+    closeAttempts(HealthSignal::Failed);
+    finishFailed(RefusalReason::TimeTooShort);
 }
 
 void ProxyExchange::cancel()
@@ -407,12 +425,7 @@
     m_search.reset();
     m_deadlineTimer.cancel();
     m_waitTimer.cancel();
-    if (m_attempt) {
-        const auto now = m_environment.context().clock.now();
-        m_attempt->upstream->stats().requestEnded(HealthSignal::Abandoned, now);
-        m_attempt->connection->close();
-        m_attempt.reset();
-    }
+    closeAttempts(HealthSignal::Abandoned);
     m_environment.recordAbandoned();
     m_environment.events().record(EventId::RequestAbandoned,
                                   {{"request", m_callerMetadata.id.string()},
@@ -441,12 +454,22 @@
         finish(Refusal{reason});
 }
 
+void ProxyExchange::finishFailed(RefusalReason refusalReason)
+{
+    if (m_serverErrorResponse)
+        finish(std::move(*m_serverErrorResponse));
+    else
+        refuse(refusalReason);
+}
+
 void ProxyExchange::finish(RequestOutcome outcome)
 {
     if (!m_reply)
         return;
     m_deadlineTimer.cancel();
     m_waitTimer.cancel();
+    m_search.reset();
+    closeAttempts(HealthSignal::Abandoned);
     m_environment.recordOutcome(outcome, m_environment.context().clock.now() - m_request.arrivedAt);
     logOutcome(outcome);
     if (auto *response = std::get_if<Response>(&outcome)) {
--- a/Source/Request/Loop/ProxyExchange.h
+++ b/Source/Request/Loop/ProxyExchange.h
@@ -23,14 +23,18 @@
     void cancel() override;
 
 private:
-    /** The attempt in progress. */
+    /** An attempt in progress. */
     struct Attempt
     {
+        /** Number of the attempt, from 1. */
+        unsigned number = 0;
         std::shared_ptr<Upstream> upstream;
         std::shared_ptr<UpstreamConnection> connection;
         TimePoint sentAt{};
         /** Cost of the target when the attempt was sent. */
         double cost = 1.0;
+        /** No response arrived before the stall limit. */
+        bool isStalled = false;
     };
 
     void findTarget();
@@ -48,12 +52,21 @@
     void perform(const RefuseStep &step);
     void send(const std::shared_ptr<Upstream> &upstream);
     std::string encodeAttempt(const Upstream &upstream, Duration timeLeft) const;
-    void attemptEnded(AttemptResult result);
-    void updateTarget(const AttemptResult &result, const ResponseMetadata &metadata,
-                      HealthSignal healthSignal);
+    void attemptEnded(unsigned number, AttemptResult result);
+    void updateTarget(const Attempt &attempt, const AttemptResult &result,
+                      const ResponseMetadata &metadata, HealthSignal healthSignal);
     bool shouldRetry(const FailedAttempt &failure);
-    /** Retries elsewhere if the target has not responded although another attempt still fits. */
+    /**
+     * Searches a target for a hedge: another attempt beside one without a response. The attempts in
+     * progress go on, since their targets may be working on the request.
+     */
     void attemptStalled();
+    /** Stops searching for a hedge, and waits for the attempts in progress. */
+    void awaitAttempts();
+    /** Closes the connections of all attempts in progress. */
+    void closeAttempts(HealthSignal healthSignal);
+    /** Delivers what is known after the last attempt has failed. */
+    void finishFailed(RefusalReason refusalReason);
     bool isTried(const Upstream &upstream) const;
     bool hasUntriedTarget() const;
     void deadlinePassed();
@@ -80,8 +93,11 @@
     /** Whether the search considers all targets instead of this VM's subset. */
     bool m_isSearchWidened = false;
     std::vector<std::shared_ptr<Upstream>> m_candidates;
-    std::optional<Attempt> m_attempt;
+    /** More than one while a hedge is in progress. */
+    std::vector<Attempt> m_attempts;
     unsigned m_attemptCount = 0;
+    /** The search is for a hedge, so the retry budget has not been asked yet. */
+    bool m_isHedging = false;
     /** The wait for a free slot is logged once for a request. */
     bool m_hasLoggedWait = false;
     std::vector<TargetId> m_triedTargets;
--- a/Source/Request/RetryDecision.h
+++ b/Source/Request/RetryDecision.h
@@ -39,10 +39,10 @@
 
 /**
  * Some targets never respond to requests that they cannot queue. An attempt that may be repeated is
- * therefore given up while there is just enough time for another one.
+ * therefore hedged while there is just enough time for another one.
  * @param context state of the request when the attempt is sent, with the attempt counted
  * @return the time without a response after which the attempt has stalled, or nothing if it must
- * not be given up.
+ * not be hedged.
  */
 std::optional<Duration> stallLimit(const RetryContext &context);
 
--- a/Tests/Process/GatewayTest.cpp
+++ b/Tests/Process/GatewayTest.cpp
@@ -155,8 +155,8 @@
         route.prefix = "/read/";
         route.idempotent = true;
         route.maxAttempts = 3;
-        route.timeout = 1500ms;
-        route.latencyObjective = 250ms;
+        route.timeout = timeout;
+        route.latencyObjective = latencyObjective;
         route.services = {{ServiceName("desk"), 1.0}};
         auto write = route;
         write.name = "write";
@@ -217,10 +217,28 @@
     std::vector<TargetRecord> records;
     std::unique_ptr<Gateway> gateway;
     std::thread thread;
+    Duration timeout = 1500ms;
+    Duration latencyObjective = 250ms;
     std::uint64_t version = 0;
     unsigned requestCount = 0;
 };
 
+/** A service with a slow target. Its work outlasts the stall limit, but not the route's timeout. */
+struct SlowTargetFixture : GatewayFixture
+{
+    static constexpr Duration workTime = 2600ms;
+
+    SlowTargetFixture()
+    {
+        timeout = 3s;
+        latencyObjective = 1s;
+        addTarget("slow", [](const std::string &id) {
+            std::this_thread::sleep_for(workTime);
+            return ScriptedTarget::response("200 OK", id, {}, "slow");
+        });
+    }
+};
+
 // Guards against requests to a target that announced its stop, in the registry's words still ready.
 TEST_CASE_FIXTURE(GatewayFixture, "gateway, target announces leaving, sends it nothing more")
 {
@@ -311,6 +329,37 @@
     CHECK(targets[0]->requestCount() == 1);
 }
 
+// Guards against a request that is broken off at a working target and answered 504 before the
+// route's timeout, although no other target can run it.
+TEST_CASE_FIXTURE(SlowTargetFixture,
+                  "gateway, target works long and the others are full, delivers its response")
+{
+    addTarget("full", respond("503 Service Unavailable", "Not-Executed: 1\r\n"));
+    targets[1]->setReportedLoad(6);
+    publish();
+    const auto response = call();
+    CHECK(response.starts_with("HTTP/1.1 200"));
+    CHECK(response.ends_with("slow"));
+    CHECK(targets[0]->requestCount() == 1);
+    CHECK(events.count(EventId::RequestStalled) == 1);
+}
+
+// Guards against a working target that is given up for another one, which then fails.
+TEST_CASE_FIXTURE(SlowTargetFixture,
+                  "gateway, target works long and the hedge fails, delivers the first response")
+{
+    publish();
+    std::string response;
+    std::thread caller([&] { response = call(); });
+    REQUIRE(eventually([&] { return targets[0]->requestCount() == 1; }));
+    addTarget("failing", respond("500 Internal Server Error", ""));
+    publish();
+    caller.join();
+    CHECK(targets[1]->requestCount() == 1);
+    CHECK(response.starts_with("HTTP/1.1 200"));
+    CHECK(response.ends_with("slow"));
+}
+
 // Load pattern: the targets of this VM's subset are full, and others of the service have free
 // slots. Guards against requests that are refused, or wait until they are late.
 TEST_CASE_FIXTURE(GatewayFixture, "gateway, subset of targets full, uses free ones outside of it")
