Process, platform: Bound the wait for each table of the store

Cause: the long poll for routes waited 10.8 s before its response counted as lost; only that for targets was short, and isUpToDate() looked at it alone. Ruled out: the connection (new ones worked; keep-alive does not see a lost response) and the relays (the VM was a reader).

A VM whose call for routes fails does not relay.

--- a/Source/Process/GatewaySettings.h
+++ b/Source/Process/GatewaySettings.h
@@ -31,6 +31,8 @@
     double loadProbesPerTargetPerSecond = 10;
     /** Maximum time until a change is in force at a VM. */
     Duration maxChangeDelay = std::chrono::seconds(2);
+    /** Maximum time from the recovery of the platform's store until a VM is up to date. */
+    Duration maxRecoveryDelay = std::chrono::seconds(3);
     std::size_t maxConnections = 3000;
     /** Processor cores of this VM; a fraction if it has a share of one. */
     double cores = 1;
--- a/Source/Process/Loop/PlatformSession.cpp
+++ b/Source/Process/Loop/PlatformSession.cpp
@@ -16,16 +16,19 @@
 constexpr Duration fleetRetryDelay = 5s;
 /** Delay before the list is read again after this VM added itself: others may do so, too. */
 constexpr Duration registrationDelay = 700ms;
-/** Long-poll wait of a VM that follows the store only for itself. */
-constexpr Duration standalonePollWait = 10s;
 /**
- * Long-poll wait of a relaying VM, as a fraction of the bound on change propagation. Frequent
- * responses show that it still reaches the store.
+ * Part of the time until a VM must have recovered that is left for the calls after a lost response
+ * was noticed.
+ */
+constexpr Duration recoveryReserve = 300ms;
+/**
+ * Long-poll wait of a relaying VM for changes of targets, as a fraction of the bound on change
+ * propagation. Frequent responses show that it still reaches the store.
  */
 constexpr double readerPollShare = 0.5;
 /**
- * Maximum age of the last store response for which a VM may relay changes to others, as a fraction
- * of the bound. The rest of the bound is needed to notice the age and to query another VM.
+ * Maximum age of the last response with changes of targets for which a VM may relay to others, as a
+ * fraction of the bound. The rest of the bound is needed to notice the age and to query another VM.
  */
 constexpr double maxResponseAgeShare = 0.7;
 /** Time allowed for the first store responses before a VM reports the store as unreachable. */
@@ -35,11 +38,13 @@
 /** The same for a VM that only receives relayed changes. A failed link is handled at once. */
 constexpr Duration relayedSuperviseInterval = 1500ms;
 /**
- * Retry backoff of a VM that follows the store only for itself. In that case all VMs may call the
- * store, and all have to be up to date within 3 s of its recovery. Doubling the
- * initial delay caused five calls per VM in the first 3 s of an outage.
+ * Growth of the retry delay of a VM that follows the store only for itself. In that case all VMs
+ * may call the store. Doubling the initial delay caused five calls per VM in the first 3 s of an
+ * outage.
  */
-constexpr RetryBackoff standaloneBackoff{2s, 20};
+constexpr unsigned standaloneBackoffFactor = 20;
+/** Time until a call fails if the store cannot be reached. */
+constexpr Duration unreachableTimeout = 1s;
 /** Fraction of the bound on change propagation that is spent batching changes at the store. */
 constexpr double batchShare = 0.25;
 
@@ -60,6 +65,7 @@
     , m_events(events)
     , m_self{settings.vm, settings.zone, settings.relayEndpoint, settings.cores, std::nullopt}
     , m_maxChangeDelay(settings.maxChangeDelay)
+    , m_maxRecoveryDelay(settings.maxRecoveryDelay)
     , m_mirror(translator, feed)
     , m_followers{makeFollower(store, RowTable::Routes, settings.maxChangeDelay),
                   makeFollower(store, RowTable::Targets, settings.maxChangeDelay)}
@@ -115,11 +121,18 @@
 
 void PlatformSession::follow(bool isReader)
 {
+    // The store may lose the response to one call only, so the wait of each is bounded.
+    const auto pollWait = m_maxRecoveryDelay - PlatformStore::responseTimeout - recoveryReserve;
+    for (auto &it : m_followers)
+        it.setPollWait(pollWait);
     // Frequent calls for one table are enough to show that the store is reachable.
-    m_followers.back().setPollWait(
-            isReader ? duration_cast<Duration>(m_maxChangeDelay * readerPollShare)
-                     : standalonePollWait);
-    m_followers.back().setRetryBackoff(isReader ? RetryBackoff() : standaloneBackoff);
+    if (isReader)
+        m_followers.back().setPollWait(
+                std::min(pollWait, duration_cast<Duration>(m_maxChangeDelay * readerPollShare)));
+    m_followers.back().setRetryBackoff(
+            isReader ? RetryBackoff()
+                     : RetryBackoff{m_maxRecoveryDelay - unreachableTimeout,
+                                    standaloneBackoffFactor});
     if (!isFollowing())
         m_followingSince = m_context.clock.now();
     for (auto &it : m_followers) {
@@ -174,6 +187,7 @@
     const auto now = m_context.clock.now();
     return std::all_of(m_followers.begin(), m_followers.end(),
                        [](const auto &it) { return it.isRunning() && it.lastResponseAt(); })
+           && !m_followers.front().isFailing()
            && now - *m_followers.back().lastResponseAt()
                       <= duration_cast<Duration>(m_maxChangeDelay * maxResponseAgeShare);
 }
--- a/Source/Process/Loop/PlatformSession.h
+++ b/Source/Process/Loop/PlatformSession.h
@@ -71,6 +71,7 @@
     EventSink &m_events;
     const FleetMember m_self;
     const Duration m_maxChangeDelay;
+    const Duration m_maxRecoveryDelay;
     RowMirror m_mirror;
     std::array<TableFollower, rowTableCount> m_followers;
     RelayServer m_server;
--- a/Source/Process/Loop/TableFollower.cpp
+++ b/Source/Process/Loop/TableFollower.cpp
@@ -12,7 +12,10 @@
  * Default long-poll wait. A shorter wait costs more store calls, which are charged; a longer one
  * delays the detection of a lost response.
  */
-constexpr Duration defaultPollWait = 10s;
+constexpr Duration defaultPollWait = 2s;
+/** Part of a retry delay that is randomized, so that VMs that failed together do not retry at the
+ * same time. Only shortens the delay, whose maximum bounds the time until a VM has recovered. */
+constexpr double retryJitter = 0.25;
 /** Initial retry delay. By then a connection that the store closed while idle is replaced. */
 constexpr Duration initialRetryDelay = 100ms;
 
@@ -157,8 +160,7 @@
     m_isYielding = m_otherFollower && m_otherFollower->isFailing();
     const auto delay = m_isYielding ? yieldDelay : retryDelay();
     ++m_failureCount;
-    // Jitter of 25 % keeps VMs that failed together from retrying at the same time.
-    scheduleCall(duration_cast<Duration>(delay * (0.75 + m_random.unit() / 2)));
+    scheduleCall(duration_cast<Duration>(delay * (1 - m_random.unit() * retryJitter)));
 }
 
 Duration TableFollower::retryDelay() const
--- a/Source/Process/PlatformStore.h
+++ b/Source/Process/PlatformStore.h
@@ -84,6 +84,9 @@
     using MembersHandler = std::function<void(Result<FleetList> list)>;
     using WriteHandler = std::function<void(Result<> written)>;
 
+    /** Time after the wait of a long poll after which its response counts as lost. */
+    static constexpr Duration responseTimeout = std::chrono::milliseconds(800);
+
     virtual ~PlatformStore() = default;
     /** Reads rows of a table in key order, starting at a key. */
     virtual void readRows(RowTable table, std::string_view fromKey, RowsHandler handler) = 0;
--- a/Source/Process/Yaml/GatewaySettingsReader.cpp
+++ b/Source/Process/Yaml/GatewaySettingsReader.cpp
@@ -19,6 +19,7 @@
     root.endpoint("platform_endpoint", settings.platformEndpoint, Presence::Required);
     root.duration("stop_grace", settings.stopGrace, {1s, 10min});
     root.duration("change_bound", settings.maxChangeDelay, {100ms, 1min});
+    root.duration("recovery_bound", settings.maxRecoveryDelay, {2s, 1min});
     root.number("repeat_ratio", settings.retryRatio, {0.0, 1.0});
     root.number("repeat_slack", settings.retrySlack, {0.0, 1e6});
     root.duration("repeat_window", settings.retryWindow, {1s, 10min});
--- /dev/null
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -0,0 +1,55 @@
+#include "platform/StoreClient.h"
+#include "Connection/RawSocket.h"
+
+#include <doctest/doctest.h>
+
+using namespace Sapphireladder;
+using namespace Sapphireladder::Tests;
+using namespace std::chrono_literals;
+
+TEST_SUITE_BEGIN("Platform");
+
+/** A store whose first connections go silent after one response, as after a network failure. */
+struct SilentStoreFixture
+{
+    static constexpr unsigned silentConnections = 2;
+
+    /** Reads the fleet list. @return whether the store responded. */
+    bool readMembers()
+    {
+        bool hasResponse = false;
+        client.readMembers([&](const Result<FleetList> &list) { hasResponse = list.has_value(); });
+        io.restart();
+        io.run_for(5s);
+        return hasResponse;
+    }
+
+    ScriptedServer server{[](RawSocket &socket, unsigned number) {
+        while (socket.readUntil("\r\n\r\n").ends_with("\r\n\r\n")) {
+            socket.send(encodeOkResponse(R"({"rows":[],"ver":1,"now_ms":1})"));
+            if (number < silentConnections)
+                socket.readAll();
+        }
+    }};
+    boost::asio::io_context io;
+    SteadyClock clock;
+    LoopContext context{io, clock};
+    Platform::StoreClient client{context, server.endpoint()};
+};
+
+// Guards against a timeout for each idle connection, one call after the other, after all
+// connections to the store have gone silent.
+TEST_CASE_FIXTURE(SilentStoreFixture,
+                  "store client, idle connections are silent, costs one timeout for all")
+{
+    unsigned responses = 0;
+    const auto count = [&](const auto &result) { responses += result.has_value() ? 1 : 0; };
+    client.readMembers(count);
+    client.readRows(RowTable::Routes, {}, count);
+    io.run_for(1s);
+    REQUIRE(responses == silentConnections);
+    CHECK_FALSE(readMembers());
+    CHECK(readMembers());
+}
+
+TEST_SUITE_END();
--- a/Tests/Process/FleetRelayTest.cpp
+++ b/Tests/Process/FleetRelayTest.cpp
@@ -15,23 +15,34 @@
 /** Content of the platform's store, shared by the fake stores of all VMs. */
 struct FakeStoreContent
 {
+    /** A long poll that waits for a change of its table. */
+    struct PendingPoll
+    {
+        RowTable table;
+        std::function<void()> respond;
+    };
+
     std::uint64_t position = 1;
-    std::map<std::string, SourceRow> targets;
+    std::array<std::map<std::string, SourceRow>, rowTableCount> tables;
     std::vector<FleetMember> members;
     std::uint64_t calls = 0;
     /** Calls of awaitChanges() with a wait of zero. */
     std::uint64_t immediateCalls = 0;
-    std::list<std::function<void()>> pendingPolls;
+    std::list<PendingPoll> pendingPolls;
 
-    void put(const std::string &key)
+    void put(const std::string &key, RowTable table = RowTable::Targets)
     {
-        targets[key] = {key, "value", ++position, false};
-        for (const auto &it : std::exchange(pendingPolls, {}))
-            it();
+        tables[static_cast<std::size_t>(table)][key] = {key, "value", ++position, false};
+        for (const auto &it : std::exchange(pendingPolls, {})) {
+            if (it.table == table)
+                it.respond();
+            else
+                pendingPolls.push_back(it);
+        }
     }
 };
 
-/** Fake store of one VM. It can be made unreachable for this VM only. */
+/** Fake store of one VM. It can be made unreachable, or lose its responses, for this VM only. */
 class FakeStore final : public PlatformStore
 {
 public:
@@ -41,6 +52,12 @@
     {}
 
     void setUnreachable(bool isUnreachable) { m_isUnreachable = isUnreachable; }
+    /** While set, responses are lost, also those to calls that were made before. */
+    void setLosingResponses(bool isLosing)
+    {
+        m_isLosing = isLosing;
+        ++m_lossChanges;
+    }
 
     void readRows(RowTable table, std::string_view, RowsHandler handler) override
     {
@@ -51,17 +68,22 @@
                       RowsHandler handler) override
     {
         auto timer = std::make_shared<LoopTimer>(m_io);
-        auto reply = [this, table, position, timer, handler = std::move(handler)]() mutable {
-            if (const auto once = std::exchange(handler, nullptr))
+        ++m_content.calls;
+        m_content.immediateCalls += wait == Duration::zero() ? 1 : 0;
+        auto failsAt = std::chrono::steady_clock::now() + wait + responseTimeout;
+        auto reply = [this, table, position, timer, failsAt, losses = m_lossChanges,
+                      handler = std::move(handler)]() mutable {
+            const auto once = std::exchange(handler, nullptr);
+            if (once && (m_isLosing || losses != m_lossChanges))
+                failAt(failsAt, once);
+            else if (once)
                 respond([this, table, position] { return rowsAfter(table, position); }, once,
                         false);
         };
-        ++m_content.calls;
-        m_content.immediateCalls += wait == Duration::zero() ? 1 : 0;
         const auto sharedReply = std::make_shared<std::function<void()>>(std::move(reply));
-        if (table == RowTable::Targets && m_content.position == position)
-            m_content.pendingPolls.emplace_back([sharedReply] { (*sharedReply)(); });
-        else if (table == RowTable::Targets)
+        if (rowsAfter(table, position).value().rows.empty())
+            m_content.pendingPolls.push_back({table, [sharedReply] { (*sharedReply)(); }});
+        else
             wait = Duration::zero();
         timer->expires_after(wait);
         timer->async_wait([sharedReply](const auto &) { (*sharedReply)(); });
@@ -93,22 +115,29 @@
     {
         SourceRows found;
         found.position = m_content.position;
-        for (const auto &[key, row] : m_content.targets) {
-            if (table == RowTable::Targets && row.version > position)
+        for (const auto &[key, row] : m_content.tables[static_cast<std::size_t>(table)]) {
+            if (row.version > position)
                 found.rows.push_back(row);
         }
         return found;
     }
 
+    template<typename Handler>
+    void failAt(std::chrono::steady_clock::time_point time, Handler handler)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_io, time);
+        timer->async_wait([timer, handler](const auto &) {
+            handler(makeError(ProcessError::PeerMessageInvalid));
+        });
+    }
+
     template<typename Make, typename Handler>
     void respond(Make make, Handler handler, bool isCounted = true)
     {
         m_content.calls += isCounted ? 1 : 0;
-        if (m_isUnreachable) {
-            auto timer = std::make_shared<LoopTimer>(m_io, 100ms);
-            timer->async_wait([timer, handler](const auto &) {
-                handler(makeError(ProcessError::PeerMessageInvalid));
-            });
+        if (m_isUnreachable || m_isLosing) {
+            failAt(std::chrono::steady_clock::now() + (m_isLosing ? responseTimeout : 100ms),
+                   handler);
             return;
         }
         boost::asio::post(m_io, [make, handler] { handler(make()); });
@@ -117,6 +146,9 @@
     boost::asio::io_context &m_io;
     FakeStoreContent &m_content;
     bool m_isUnreachable = false;
+    bool m_isLosing = false;
+    /** Calls made before a change of m_isLosing get no response. */
+    unsigned m_lossChanges = 0;
 };
 
 class NullTranslator final : public RowTranslator
@@ -263,9 +295,11 @@
 // Each VM reads the fleet list. Relays write their entry and read the list again. How many VMs list
 // themselves depends on how far their reads are apart, so the bound is that of the fleet.
 constexpr std::uint64_t startupCallsPerVm = 2;
-// A reader follows two tables, one of them with a call every 1.2 s.
+// A reader follows two tables, one of them with a call each second, the other every 1.9 s.
 constexpr std::uint64_t maxCallsPerReader = 20;
 constexpr std::uint64_t readerCount = 3;
+// The platform allows 16,000 reads a second for 472 VMs.
+constexpr std::uint64_t recoveryCallsPerVm = 3 * 16000 / 472;
 
 // Guards against a fleet startup at which every VM considers the readers failed, because they do
 // not follow the store yet, and reads the store itself.
@@ -359,6 +393,44 @@
     CHECK(content.immediateCalls > immediateCallsBefore);
 }
 
+// Guards against a reader that acts on old routes for 10 s after the store has lost one response,
+// and relays them as up to date.
+TEST_CASE_FIXTURE(FleetRelayFixture,
+                  "fleet relay, reader's responses are lost, it has the new routes in time")
+{
+    run(5s);
+    auto &vm = reader();
+    vm.store.setLosingResponses(true);
+    run(1s);
+    content.put("routes", RowTable::Routes);
+    resetChanges();
+    run(1s);
+    vm.store.setLosingResponses(false);
+    run(GatewaySettings().maxRecoveryDelay);
+    CHECK(vm.feed.changes > 0);
+    CHECK(countUpdatedVms() == vmCount);
+}
+
+// Guards against VMs that follow the store for themselves and notice a lost response 10 s later.
+TEST_CASE_FIXTURE(FleetRelayFixture,
+                  "fleet relay, all responses are lost, every VM has the new routes in time")
+{
+    run(5s);
+    for (const auto &it : vms)
+        it->store.setLosingResponses(true);
+    run(4s);
+    content.put("routes", RowTable::Routes);
+    resetChanges();
+    const auto callsBefore = content.calls;
+    for (const auto &it : vms)
+        it->store.setLosingResponses(false);
+    run(GatewaySettings().maxRecoveryDelay);
+    CHECK(countUpdatedVms() == vmCount);
+    MESSAGE("store calls for each VM in 3 s after the recovery: ",
+            static_cast<double>(content.calls - callsBefore) / vmCount);
+    CHECK(content.calls - callsBefore <= vmCount * recoveryCallsPerVm);
+}
+
 // Guards against a restarted VM that reads rows from the store which other VMs can relay.
 TEST_CASE_FIXTURE(FleetRelayFixture, "fleet relay, VM restarts, gets all rows from other VMs")
 {
