Connection: End the largest response when the buffer budget is used up

Memory was bounded here, but the bound hit the wrong connection: once one target's body had filled the budget, the responses of sound targets ended as too large (502 to their callers).

The budget evicts the largest response now, if it is larger than the one that asks for more.

--- a/Source/Connection/Loop/BufferBudget.h
+++ b/Source/Connection/Loop/BufferBudget.h
@@ -2,11 +2,55 @@
 
 #include "Core/Core.h"
 
+#include <boost/intrusive/list.hpp>
+
 #include <cstddef>
-#include <utility>
+#include <functional>
 
 namespace Sapphireladder {
 
+class BufferBudget;
+
+/**
+ * The part of a budget that one connection uses. Returned on destruction.
+ *
+ * If the budget is exhausted, the connection that holds the most has to end, whichever asks for
+ * more: otherwise a target that sends without end would make the messages of others fail.
+ */
+class BufferReservation
+    : public boost::intrusive::list_base_hook<
+              boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+{
+public:
+    using EvictionHandler = std::function<void()>;
+
+    /**
+     * @param budget must outlive the reservation
+     * @param evictionHandler called when the connection has to end in favour of another; it must
+     * not change any reservation itself. If empty, the reservation is not evicted.
+     */
+    explicit BufferReservation(BufferBudget &budget, EvictionHandler evictionHandler = {});
+    BufferReservation(const BufferReservation &) = delete;
+    BufferReservation &operator=(const BufferReservation &) = delete;
+    ~BufferReservation() { release(); }
+
+    /**
+     * Changes the size of the reservation. Evicts larger ones if the budget is exhausted.
+     * @return whether the budget allows it.
+     */
+    bool resize(std::size_t bytes);
+    void release();
+
+private:
+    friend class BufferBudget;
+
+    BufferBudget &m_budget;
+    EvictionHandler m_evictionHandler;
+    std::size_t m_bytes = 0;
+    /** The connection has to end, and has not released the reservation yet. */
+    bool m_isEvicted = false;
+};
+
 /**
  * Bytes of incomplete messages that the connections of one event loop hold together. A limit for
  * each message is not enough: a faulty target that sends without end on many connections, or many
@@ -27,34 +71,13 @@
 private:
     friend class BufferReservation;
 
+    /** Evicts the largest reservation if it is larger than this one. @return whether it was. */
+    bool evictLargerThan(const BufferReservation &reservation);
+
     const std::size_t m_maxBytes;
     std::size_t m_usedBytes = 0;
-};
-
-/** The part of a budget that one connection uses. Returned on destruction. */
-class BufferReservation
-{
-public:
-    /** @param budget must outlive the reservation */
-    explicit BufferReservation(BufferBudget &budget)
-        : m_budget(budget)
-    {}
-    BufferReservation(const BufferReservation &) = delete;
-    BufferReservation &operator=(const BufferReservation &) = delete;
-    ~BufferReservation() { release(); }
-
-    /** Changes the size of the reservation. @return whether the budget allows it. */
-    bool resize(std::size_t bytes)
-    {
-        m_budget.m_usedBytes += bytes;
-        m_budget.m_usedBytes -= std::exchange(m_bytes, bytes);
-        return m_bytes == 0 || m_budget.m_usedBytes <= m_budget.m_maxBytes;
-    }
-    void release() { resize(0); }
-
-private:
-    BufferBudget &m_budget;
-    std::size_t m_bytes = 0;
+    boost::intrusive::list<BufferReservation, boost::intrusive::constant_time_size<false>>
+            m_reservations;
 };
 
 } // namespace Sapphireladder
--- a/Source/Connection/Loop/UpstreamConnection.cpp
+++ b/Source/Connection/Loop/UpstreamConnection.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -19,7 +20,12 @@
     : m_context(context)
     , m_socket(context.io)
     , m_timer(context.io)
-    , m_buffered(context.buffers)
+    , m_buffered(context.buffers, [this] {
+        boost::asio::post(m_context.io, [weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->handleEviction();
+        });
+    })
 {}
 
 void UpstreamConnection::open(const TcpEndpoint &endpoint, Duration connectTimeout,
@@ -199,6 +205,12 @@
 {
     m_request.reset();
     m_reader.reset();
+void UpstreamConnection::handleEviction()
+{
+    if (m_state == State::Busy)
+        fail({Unknown{UnknownReason::ResponseTooLarge}, {}, false, {}});
+}
+
     m_buffered.release();
     const auto handler = std::exchange(m_handler, nullptr);
     if (handler)
--- a/Source/Connection/Loop/UpstreamConnection.h
+++ b/Source/Connection/Loop/UpstreamConnection.h
@@ -19,8 +19,9 @@
     bool isBodyless = false;
     std::size_t maxResponseBodyBytes = mebibyte;
     /**
-     * Returns whether a response belongs to the request. A response that does not is discarded, and
-     * the next one is awaited. If the function is empty, any response is accepted.
+     * Returns whose response a response is. One to another request is discarded, and the next one
+     * is awaited. So is an unidentified one, unless the connection has carried no other request.
+     * If the function is empty, any response is accepted.
      */
     std::function<bool(const Response &)> isMatchingResponse;
 };
@@ -88,6 +89,8 @@
     CompletionHandler m_handler;
     std::optional<ResponseReader> m_reader;
     BufferReservation m_buffered;
+    /** Ends the request because its response holds the most of an exhausted buffer budget. */
+    void handleEviction();
     bool m_isRequestSent = false;
     unsigned m_mismatchedCount = 0;
     std::optional<TimePoint> m_deadline;
--- a/Tests/Connection/EndlessInputTest.cpp
+++ b/Tests/Connection/EndlessInputTest.cpp
@@ -14,6 +14,10 @@
 {
     static constexpr Duration timeout = 5s;
 
+    explicit EndlessInputFixture(std::size_t maxBufferBytes = BufferBudget::defaultMaxBytes)
+        : context{.io = io, .clock = clock, .buffers = BufferBudget(maxBufferBytes)}
+    {}
+
     /** @return a script that sends a beginning, and then a block without end. */
     static ScriptedServer::Script sendWithoutEnd(const std::string &beginning,
                                                  const std::string &block)
@@ -117,8 +121,46 @@
         for (std::size_t i = 0; i < count; ++i)
             start(server.endpoint());
         const auto peak = runUntil(count);
-        CHECK(peak <= BufferBudget::defaultMaxBytes + LoopContext(context).receiveBuffer.size());
+        CHECK(peak <= BufferBudget::defaultMaxBytes + context.receiveBuffer.size());
     }
 }
 
+/** The connections of a VM whose buffer budget is small. */
+struct SmallBudgetFixture : EndlessInputFixture
+{
+    SmallBudgetFixture()
+        : EndlessInputFixture(1 * mebibyte)
+    {}
+};
+
+// Guards against the responses of sound targets that fail because a faulty one has filled the
+// buffer budget of the VM.
+TEST_CASE_FIXTURE(SmallBudgetFixture,
+                  "upstream connections, one body fills the budget, others are read whole")
+{
+    ScriptedServer faulty([](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        socket.send("HTTP/1.1 200 OK\r\nContent-Length: 16000000\r\n\r\n"
+                    + std::string(1000000, 'x'));
+        socket.readAll();
+    });
+    const std::string half(100000, 'y');
+    ScriptedServer sound([&](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        socket.send("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 200000\r\n"
+                    "\r\n"
+                    + half);
+        std::this_thread::sleep_for(300ms);
+        socket.send(half);
+    });
+    start(faulty.endpoint());
+    while (context.buffers.usedBytes() < 1000000)
+        io.run_one_for(100ms);
+    start(sound.endpoint());
+    runUntil(2);
+    CHECK(isUnknown(0));
+    REQUIRE(std::holds_alternative<Answered>(results[1].outcome));
+    CHECK(std::get<Answered>(results[1].outcome).response.body == half + half);
+}
+
 TEST_SUITE_END();
