Connection, Request: Do not take an unidentified response for a request's own on a used connection

An unsafe request ran at a second target, or its caller was told "not run", although the first target ran it.

Cause: probes and requests share connections, and an error without an id was accepted as the response to a request. The refusal of a probe has no id.

Such a response is discarded now unless the connection has carried no other request, and the response with the id is awaited. Requests without an id get a new connection.

--- a/Source/Connection/Loop/Upstream.cpp
+++ b/Source/Connection/Loop/Upstream.cpp
@@ -39,8 +39,10 @@
     UpstreamRequest request;
     request.bytes = encodeProbe();
     // A late copy of a response to an earlier request carries the id of that request.
-    request.isMatchingResponse = [&codec = m_headerCodec](const Response &response) {
-        return !codec.responseMetadata(response.status, response.headers).request;
+    request.originOf = [&codec = m_headerCodec](const Response &response) {
+        const bool hasId = codec.responseMetadata(response.status, response.headers)
+                                   .request.has_value();
+        return hasId ? ResponseOrigin::Other : ResponseOrigin::Own;
     };
     m_probeConnection->exchange(std::move(request), m_probeBudget.policy().timeout,
                                 [weak = weak_from_this()](const AttemptResult &result) {
--- a/Source/Connection/Loop/UpstreamConnection.cpp
+++ b/Source/Connection/Loop/UpstreamConnection.cpp
@@ -72,6 +72,7 @@
 {
     m_state = State::Busy;
     m_isRequestSent = false;
+    ++m_requestCount;
     m_mismatchedCount = 0;
     m_reader.emplace(m_request->isBodyless, m_request->maxResponseBodyBytes);
     callAfter(m_timer, weak_from_this(),
@@ -148,7 +149,7 @@
     const bool keeps = m_reader->keepsConnection();
     m_idleTimeout = m_reader->idleTimeout();
     auto response = m_reader->takeResponse();
-    if (m_request->isMatchingResponse && !m_request->isMatchingResponse(response)) {
+    if (!isOwnResponse(response)) {
         // A late response to an earlier request; the matching one may still follow.
         ++m_mismatchedCount;
         m_reader.emplace(m_request->isBodyless, m_request->maxResponseBodyBytes);
@@ -168,6 +169,15 @@
     complete({Answered{std::move(response)}, {}, false, {}});
 }
 
+bool UpstreamConnection::isOwnResponse(const Response &response) const
+{
+    if (!m_request->originOf)
+        return true;
+    const auto origin = m_request->originOf(response);
+    return origin == ResponseOrigin::Own
+           || (origin == ResponseOrigin::Unidentified && m_requestCount == 1);
+}
+
 void UpstreamConnection::handleDisconnect(const boost::system::error_code &ec)
 {
     if (m_state != State::Busy) {
@@ -195,6 +205,12 @@
         fail({Unknown{UnknownReason::ResponseTimeout}, {}, false, {}});
 }
 
+void UpstreamConnection::handleEviction()
+{
+    if (m_state == State::Busy)
+        fail({Unknown{UnknownReason::ResponseTooLarge}, {}, false, {}});
+}
+
 void UpstreamConnection::fail(AttemptResult result)
 {
     closeSocket();
@@ -205,12 +221,6 @@
 {
     m_request.reset();
     m_reader.reset();
-void UpstreamConnection::handleEviction()
-{
-    if (m_state == State::Busy)
-        fail({Unknown{UnknownReason::ResponseTooLarge}, {}, false, {}});
-}
-
     m_buffered.release();
     const auto handler = std::exchange(m_handler, nullptr);
     if (handler)
--- a/Source/Connection/Loop/UpstreamConnection.h
+++ b/Source/Connection/Loop/UpstreamConnection.h
@@ -10,6 +10,16 @@
 
 namespace Sapphireladder {
 
+/** Whose response a response is. */
+enum class ResponseOrigin : std::uint8_t {
+    /** It responds to the request. */
+    Own,
+    /** It responds to another request. */
+    Other,
+    /** It does not tell. It may be a late copy of a response to an earlier request. */
+    Unidentified,
+};
+
 /** An encoded request to an upstream and the rules for its response. */
 struct UpstreamRequest
 {
@@ -23,7 +33,7 @@
      * is awaited. So is an unidentified one, unless the connection has carried no other request.
      * If the function is empty, any response is accepted.
      */
-    std::function<bool(const Response &)> isMatchingResponse;
+    std::function<ResponseOrigin(const Response &)> originOf;
 };
 
 /** Client side of one connection to an upstream. Carries one request at a time. */
@@ -76,7 +86,11 @@
     void handleInput(std::string_view input);
     void handleDisconnect(const boost::system::error_code &ec);
     void handleResponse(std::string_view rest);
+    /** @return whether a response belongs to the request in progress. */
+    bool isOwnResponse(const Response &response) const;
     void handleTimeout();
+    /** Ends the request because its response holds the most of an exhausted buffer budget. */
+    void handleEviction();
     void fail(AttemptResult result);
     void complete(AttemptResult result);
     void closeSocket();
@@ -89,9 +103,9 @@
     CompletionHandler m_handler;
     std::optional<ResponseReader> m_reader;
     BufferReservation m_buffered;
-    /** Ends the request because its response holds the most of an exhausted buffer budget. */
-    void handleEviction();
     bool m_isRequestSent = false;
+    /** Number of requests sent on the connection. */
+    unsigned m_requestCount = 0;
     unsigned m_mismatchedCount = 0;
     std::optional<TimePoint> m_deadline;
     std::optional<TimePoint> m_lastResponseAt;
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -222,7 +222,10 @@
     }
     m_isHedging = false;
     const RetryPolicy policy{.maxAttempts = m_route->maxAttempts};
-    const auto reuse = reusePolicyFor(info(), policy, m_attemptCount);
+    // The response to a request without an id cannot be told from a copy of an earlier one.
+    const auto reuse = m_callerMetadata.id.isEmpty()
+                               ? ReusePolicy::None
+                               : reusePolicyFor(info(), policy, m_attemptCount);
     ++m_attemptCount;
     m_lastTarget = upstream->spec().id;
     m_triedTargets.push_back(m_lastTarget);
@@ -234,11 +237,14 @@
     request.bytes = encodeAttempt(*upstream, timeLeft);
     request.isBodyless = m_request.method == "HEAD";
     request.maxResponseBodyBytes = maxResponseBodySize;
-    request.isMatchingResponse = [&codec = m_environment.headerCodec(),
-                                  id = m_callerMetadata.id](const Response &response) {
+    request.originOf = [&codec = m_environment.headerCodec(),
+                        id = m_callerMetadata.id](const Response &response) {
         constexpr unsigned firstErrorStatus = 400;
         const auto metadata = codec.responseMetadata(response.status, response.headers);
-        return metadata.request ? *metadata.request == id : response.status >= firstErrorStatus;
+        if (metadata.request)
+            return *metadata.request == id ? ResponseOrigin::Own : ResponseOrigin::Other;
+        return response.status >= firstErrorStatus ? ResponseOrigin::Unidentified
+                                                   : ResponseOrigin::Other;
     };
     attempt.connection->exchange(
             std::move(request), m_deadline - now,
--- a/Tests/Connection/EndlessInputTest.cpp
+++ b/Tests/Connection/EndlessInputTest.cpp
@@ -38,7 +38,7 @@
         UpstreamRequest request;
         request.bytes = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
         request.maxResponseBodyBytes = maxBodyBytes;
-        request.isMatchingResponse = isMatching;
+        request.originOf = originOf;
         connection->exchange(std::move(request), timeout, [this, connection](const auto &result) {
             results.push_back(result);
             CHECK(connection->isClosed());
@@ -67,8 +67,8 @@
 
     boost::asio::io_context io;
     SteadyClock clock;
-    LoopContext context{io, clock};
-    std::function<bool(const Response &)> isMatching;
+    LoopContext context;
+    std::function<ResponseOrigin(const Response &)> originOf;
     std::vector<AttemptResult> results;
 };
 
@@ -96,7 +96,7 @@
 TEST_CASE_FIXTURE(EndlessInputFixture,
                   "upstream connection, other responses without end, is closed")
 {
-    isMatching = [](const Response &) { return false; };
+    originOf = [](const Response &) { return ResponseOrigin::Other; };
     ScriptedServer server(sendWithoutEnd("", encodeOkResponse("late")));
     const auto begin = clock.now();
     start(server.endpoint());
--- a/Tests/Process/GatewayTest.cpp
+++ b/Tests/Process/GatewayTest.cpp
@@ -49,6 +49,9 @@
     unsigned probeCount() const { return m_probeCount; }
     /** Sets the number of requests that the target reports as running, of six slots. */
     void setReportedLoad(unsigned load) { m_reportedLoad = load; }
+    /** Sends a copy of a refused probe's response before the response to each request that follows
+     * a probe on its connection. */
+    void repeatRefusal() { m_repeatsRefusal = true; }
     /** @return connections on which bytes arrived after a request without a response. */
     unsigned reusedSilentConnections() const { return m_reusedSilentConnections; }
 
@@ -63,18 +66,23 @@
 private:
     void serve(RawSocket &socket)
     {
+        bool hasProbe = false;
         while (true) {
             const auto head = socket.readUntil("\r\n\r\n");
             if (!head.ends_with("\r\n\r\n"))
                 return;
             if (head.starts_with("GET /health")) {
                 ++m_probeCount;
+                hasProbe = true;
                 socket.send("HTTP/1.1 200 OK\r\nInstance-Id: " + m_id
                             + "\r\nServer-Load: " + std::to_string(m_reportedLoad)
                             + ",0,6,100\r\nContent-Length: 0\r\n\r\n");
                 continue;
             }
             ++m_requestCount;
+            if (hasProbe && m_repeatsRefusal)
+                socket.send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nInstance-Id: "
+                            + m_id + "\r\nContent-Length: 0\r\n\r\n");
             constexpr std::string_view field = "Attempt-Id: ";
             const auto begin = head.find(field) + field.size();
             const auto reply = m_responder(head.substr(begin, head.find('\r', begin) - begin));
@@ -92,6 +100,7 @@
     std::atomic<unsigned> m_requestCount{0};
     std::atomic<unsigned> m_probeCount{0};
     std::atomic<unsigned> m_reportedLoad{0};
+    std::atomic<bool> m_repeatsRefusal{false};
     std::atomic<unsigned> m_reusedSilentConnections{0};
     ScriptedServer m_server{[this](RawSocket &socket, unsigned) { serve(socket); }};
 };
@@ -223,6 +232,21 @@
     unsigned requestCount = 0;
 };
 
+/** A service with two targets that repeat the refusal of a probe on kept connections. */
+struct RepeatedRefusalFixture : GatewayFixture
+{
+    RepeatedRefusalFixture()
+    {
+        for (const auto *id : {"one", "two"}) {
+            addTarget(id, respond("200 OK", ""));
+            targets.back()->repeatRefusal();
+        }
+        publish();
+    }
+
+    unsigned executions() const { return targets[0]->requestCount() + targets[1]->requestCount(); }
+};
+
 /** A service with a slow target. Its work outlasts the stall limit, but not the route's timeout. */
 struct SlowTargetFixture : GatewayFixture
 {
@@ -360,6 +384,20 @@
     CHECK(response.ends_with("slow"));
 }
 
+// Guards against a copy of an earlier refusal that is taken for the response to a request, which is
+// then sent to a second target, or reported as not run, although the first target runs it.
+TEST_CASE_FIXTURE(RepeatedRefusalFixture,
+                  "gateway, target repeats the refusal of a probe, request runs once")
+{
+    constexpr unsigned count = 40;
+    for (unsigned i = 0; i < count; ++i) {
+        // With pauses after which a search sends probes, on the connections of earlier requests.
+        std::this_thread::sleep_for(SearchPolicy().currentReportMaxAge * 2);
+        CHECK(call("/write/x").starts_with("HTTP/1.1 200"));
+    }
+    CHECK(executions() == count);
+}
+
 // Load pattern: the targets of this VM's subset are full, and others of the service have free
 // slots. Guards against requests that are refused, or wait until they are late.
 TEST_CASE_FIXTURE(GatewayFixture, "gateway, subset of targets full, uses free ones outside of it")
