Main, Process, Request: Pass on no request that the end of a stop would cut off

Cause: a stop closed idle connections once and waited; a request that was complete later was passed on, targets were given the caller's whole deadline, and what still ran at the end lost its connection.

Once the listener is closed new requests are refused with Retry-After. From the stop signal on, attempts end with the stop, and none starts that is not expected to end in it. What still runs 0.55 s before the end of the grace gets the reply of its deadline.

--- a/Source/Connection/Loop/CallerSession.cpp
+++ b/Source/Connection/Loop/CallerSession.cpp
@@ -51,6 +51,12 @@
         linger();
 }
 
+void CallerSession::expire()
+{
+    if (const auto pending = m_pending)
+        pending->expire();
+}
+
 bool CallerSession::hasUnreadInput() const
 {
     boost::system::error_code ec;
--- a/Source/Connection/Loop/CallerSession.h
+++ b/Source/Connection/Loop/CallerSession.h
@@ -25,6 +25,8 @@
     virtual ~PendingRequestHandle() = default;
     /** Aborts the request because the caller has disconnected. The reply handler is not called. */
     virtual void cancel() = 0;
+    /** Ends the request now, with the reply that it would get at its deadline. */
+    virtual void expire() {}
 };
 
 /** Handles the requests of callers. Used by the thread of the event loop only. */
@@ -69,6 +71,8 @@
     void start();
     /** Closes the connection unless isBusy() or input is waiting to be read. */
     void closeIfIdle();
+    /** Ends the request that is being served, with the reply that it would get at its deadline. */
+    void expire();
     /** @return whether a request is being read or served, or a response being written. */
     bool isBusy() const;
 
--- a/Source/Main/GatewayProcess.cpp
+++ b/Source/Main/GatewayProcess.cpp
@@ -25,6 +25,8 @@
 constexpr Duration idleCheckInterval = 50ms;
 /** Unused part of the stop grace period, so that the process exits before it is killed. */
 constexpr Duration stopGraceMargin = 400ms;
+/** Time before the end of the stop at which the last requests end, to write their responses. */
+constexpr Duration lastResponseTime = 150ms;
 
 } // namespace
 
@@ -144,7 +146,9 @@
     m_isStopping = true;
     m_stopDeadline = m_clock.now() + m_settings.stopGrace - stopGraceMargin;
     m_log.record(EventId::ShutdownStep, {{"step", "readiness-off"}});
-    boost::asio::post(m_trafficIo, [this] { m_gateway.beginStop(); });
+    boost::asio::post(m_trafficIo, [this, deadline = m_stopDeadline - lastResponseTime] {
+        m_gateway.beginStop(deadline);
+    });
     runAfter(m_stopTimer, std::min(lameduckTime, m_settings.stopGrace / 2),
              [this] { closeIdleSessions(); });
 }
@@ -160,6 +164,9 @@
 {
     runAfter(m_stopTimer, idleCheckInterval, [this] {
         boost::asio::post(m_trafficIo, [this] {
+            const auto deadline = m_gateway.stopDeadline();
+            if (deadline && m_clock.now() >= *deadline)
+                m_gateway.expireRequests();
             const bool isIdle = m_gateway.isIdle();
             boost::asio::post(m_controlIo, [this, isIdle] {
                 if (isIdle)
--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -264,18 +264,29 @@
     m_sessions.erase(session);
 }
 
-void Gateway::beginStop()
+void Gateway::beginStop(TimePoint deadline)
 {
     m_isStopping = true;
+    m_stopDeadline = deadline;
 }
 
 void Gateway::closeIdleSessions()
 {
+    m_acceptsRequests = false;
     m_callerListener.close();
     for (const auto &it : m_sessions)
         it->closeIfIdle();
 }
 
+void Gateway::expireRequests()
+{
+    // A reply may end its session.
+    const std::vector<std::shared_ptr<CallerSession>> sessions(m_sessions.begin(),
+                                                               m_sessions.end());
+    for (const auto &it : sessions)
+        it->expire();
+}
+
 bool Gateway::isIdle() const
 {
     return std::none_of(m_sessions.begin(), m_sessions.end(),
--- a/Source/Process/Loop/Gateway.h
+++ b/Source/Process/Loop/Gateway.h
@@ -36,10 +36,15 @@
     /** Applies the settings that may change at run time. May be called from any thread. */
     void reconfigure(const GatewaySettings &settings);
 
-    /** Reports the VM as not ready and closes each connection after its next response. */
-    void beginStop();
-    /** Stops accepting connections and closes idle ones. */
+    /**
+     * Reports the VM as not ready and closes each connection after its next response.
+     * @param deadline when all requests must have ended
+     */
+    void beginStop(TimePoint deadline);
+    /** Stops accepting connections and requests, and closes idle connections. */
     void closeIdleSessions();
+    /** Ends all requests, with the replies that they would get at their deadlines. */
+    void expireRequests();
     /** @return whether no request is being read or served. */
     bool isIdle() const;
     /** Closes all listeners and idle upstream connections. */
@@ -51,6 +56,8 @@
     EventSink &events() override { return m_events; }
     RandomSource &random() override { return m_random; }
     const SearchPolicy &searchPolicy() const override { return m_searchPolicy; }
+    bool acceptsRequests() const override { return m_acceptsRequests; }
+    std::optional<TimePoint> stopDeadline() const override { return m_stopDeadline; }
     std::shared_ptr<const RouteTable> routes() const override { return m_snapshot->routes; }
     std::span<const std::shared_ptr<Upstream>> upstreams(const ServiceName &service) override;
     std::span<const std::shared_ptr<Upstream>>
@@ -120,6 +127,8 @@
     Metrics m_metrics;
     std::uint64_t m_abandonedCount = 0;
     bool m_isStopping = false;
+    std::optional<TimePoint> m_stopDeadline;
+    bool m_acceptsRequests = true;
     StatusHandler m_readyHandler;
     StatusHandler m_metricsHandler;
     ConnectionListener m_callerListener;
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -54,6 +54,11 @@
 void ProxyExchange::start()
 {
     m_routes = m_environment.routes();
+    // A request that is sent to a target now could be cut off by the end of the process.
+    if (!m_environment.acceptsRequests()) {
+        refuse(RefusalReason::Stopping);
+        return;
+    }
     if (!m_routes) {
         refuse(RefusalReason::NoPreset);
         return;
@@ -110,14 +115,20 @@
     }
 }
 
+TimePoint ProxyExchange::attemptDeadline() const
+{
+    return std::min(m_deadline, m_environment.stopDeadline().value_or(m_deadline));
+}
+
 SearchTimeLimits ProxyExchange::searchTimeLimits() const
 {
-    SearchTimeLimits limits{m_deadline, m_deadline, m_environment.expectedServiceTime(*m_route),
+    const auto deadline = attemptDeadline();
+    SearchTimeLimits limits{deadline, deadline, m_environment.expectedServiceTime(*m_route),
                             m_request.arrivedAt};
     // Retries are not held to the latency objective: a late response is better than none.
     if (m_route->latencyObjective > Duration::zero() && m_attemptCount == 0)
-        limits.objectiveAt = std::min(m_deadline, m_request.arrivedAt + m_route->latencyObjective
-                                                          - callerRoundTripTime);
+        limits.objectiveAt = std::min(deadline, m_request.arrivedAt + m_route->latencyObjective
+                                                        - callerRoundTripTime);
     const auto spare = limits.objectiveAt - m_request.arrivedAt - limits.serviceTime;
     const auto *urgent = m_routes->highestPriorityRoute(m_service);
     const bool shouldReserveSlot = urgent && urgent->priority < m_route->priority
@@ -215,8 +226,11 @@
 void ProxyExchange::send(const std::shared_ptr<Upstream> &upstream)
 {
     const auto now = m_environment.context().clock.now();
-    const auto timeLeft = m_deadline - now - responseMargin;
-    if (timeLeft < minAttemptDuration) {
+    const auto timeLeft = attemptDeadline() - now - responseMargin;
+    // The end of the process would cut the attempt off, while another VM can serve the request.
+    const bool isCutShort = attemptDeadline() < m_deadline;
+    if (timeLeft
+        < (isCutShort ? m_environment.expectedServiceTime(*m_route) : minAttemptDuration)) {
         perform(RefuseStep{RefusalReason::TimeTooShort});
         return;
     }
@@ -447,7 +461,7 @@
     info.method = m_request.method;
     info.path = m_request.requestTarget;
     info.idempotent = m_route->idempotent;
-    info.deadline = m_deadline;
+    info.deadline = attemptDeadline();
     return info;
 }
 
--- a/Source/Request/Loop/ProxyExchange.h
+++ b/Source/Request/Loop/ProxyExchange.h
@@ -21,6 +21,7 @@
 
     void start();
     void cancel() override;
+    void expire() override { deadlinePassed(); }
 
 private:
     /** An attempt in progress. */
@@ -70,6 +71,9 @@
     bool isTried(const Upstream &upstream) const;
     bool hasUntriedTarget() const;
     void deadlinePassed();
+    /** @return when attempts must have ended: the deadline, or the end of the process if earlier.
+     */
+    TimePoint attemptDeadline() const;
     SearchTimeLimits searchTimeLimits() const;
     RequestInfo info() const;
     void refuse(RefusalReason reason);
--- a/Source/Request/Loop/TrafficEnvironment.h
+++ b/Source/Request/Loop/TrafficEnvironment.h
@@ -4,6 +4,7 @@
 #include "Request/Request.h"
 
 #include <memory>
+#include <optional>
 #include <span>
 
 namespace Sapphireladder {
@@ -19,6 +20,10 @@
     virtual EventSink &events() = 0;
     virtual RandomSource &random() = 0;
     virtual const SearchPolicy &searchPolicy() const = 0;
+    /** @return whether requests are accepted that have arrived just now. */
+    virtual bool acceptsRequests() const = 0;
+    /** @return when all requests must have ended because the process stops, if it does. */
+    virtual std::optional<TimePoint> stopDeadline() const = 0;
     /** @return the active routes, or null before the first are known. */
     virtual std::shared_ptr<const RouteTable> routes() const = 0;
     /** @return all targets of a service, usable or not. */
--- a/Tests/Process/GatewayTest.cpp
+++ b/Tests/Process/GatewayTest.cpp
@@ -3,10 +3,12 @@
 #include "platform/Platform.h"
 
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 
 #include <Poco/Net/ServerSocket.h>
 
+#include <future>
 #include <mutex>
 #include <set>
 
@@ -47,6 +49,8 @@
     }
     unsigned requestCount() const { return m_requestCount; }
     unsigned probeCount() const { return m_probeCount; }
+    /** @return the time limit that came with the last request, in milliseconds. */
+    unsigned long lastTimeLeft() const { return m_lastTimeLeft; }
     /** Sets the number of requests that the target reports as running, of six slots. */
     void setReportedLoad(unsigned load) { m_reportedLoad = load; }
     /** Sends a copy of a refused probe's response before the response to each request that follows
@@ -64,6 +68,12 @@
     }
 
 private:
+    static std::string fieldValue(const std::string &head, std::string_view field)
+    {
+        const auto begin = head.find(field) + field.size();
+        return head.substr(begin, head.find('\r', begin) - begin);
+    }
+
     void serve(RawSocket &socket)
     {
         bool hasProbe = false;
@@ -83,9 +93,8 @@
             if (hasProbe && m_repeatsRefusal)
                 socket.send("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nInstance-Id: "
                             + m_id + "\r\nContent-Length: 0\r\n\r\n");
-            constexpr std::string_view field = "Attempt-Id: ";
-            const auto begin = head.find(field) + field.size();
-            const auto reply = m_responder(head.substr(begin, head.find('\r', begin) - begin));
+            m_lastTimeLeft = std::stoul(fieldValue(head, "Deadline-Ms: "));
+            const auto reply = m_responder(fieldValue(head, "Attempt-Id: "));
             if (!reply) {
                 m_reusedSilentConnections += socket.readAll().empty() ? 0 : 1;
                 return;
@@ -101,6 +110,7 @@
     std::atomic<unsigned> m_probeCount{0};
     std::atomic<unsigned> m_reportedLoad{0};
     std::atomic<bool> m_repeatsRefusal{false};
+    std::atomic<unsigned long> m_lastTimeLeft{0};
     std::atomic<unsigned> m_reusedSilentConnections{0};
     ScriptedServer m_server{[this](RawSocket &socket, unsigned) { serve(socket); }};
 };
@@ -179,6 +189,17 @@
         gateway->publish(std::move(snapshot));
     }
 
+    /** Runs a function on the traffic thread, and waits for its end. */
+    void run(const std::function<void()> &function)
+    {
+        std::promise<void> done;
+        boost::asio::post(io, [&] {
+            function();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
     /** @return the response to one request on a new connection. */
     std::string call(const std::string &path = "/read/x")
     {
@@ -398,6 +419,60 @@
     CHECK(executions() == count);
 }
 
+// Guards against a request that arrives late in a stop, is passed on, and is cut off at its end.
+TEST_CASE_FIXTURE(GatewayFixture, "gateway, request completes late in a stop, refuses it")
+{
+    addTarget("one", respond("200 OK", ""));
+    publish();
+    REQUIRE(call().starts_with("HTTP/1.1 200"));
+    RawSocket caller(settings.callerEndpoint);
+    caller.send("GET /write/x HTTP/1.1\r\nHost: a\r\n");
+    std::this_thread::sleep_for(100ms);
+    run([this] {
+        gateway->beginStop(clock.now() + 5s);
+        gateway->closeIdleSessions();
+    });
+    caller.send("Attempt-Id: late\r\nDeadline-Ms: 3000\r\n\r\n");
+    const auto response = caller.readResponse();
+    CHECK(response.starts_with("HTTP/1.1 503"));
+    CHECK(response.find("Retry-After: ") != std::string::npos);
+    CHECK(targets[0]->requestCount() == 1);
+}
+
+// Guards against a connection that is closed without a response at the end of a stop.
+TEST_CASE_FIXTURE(SlowTargetFixture, "gateway, stop ends before the target's work, responds")
+{
+    publish();
+    RawSocket caller(settings.callerEndpoint);
+    caller.send("GET /write/x HTTP/1.1\r\nHost: a\r\nAttempt-Id: r\r\nDeadline-Ms: 3000\r\n\r\n");
+    REQUIRE(eventually([&] { return targets[0]->requestCount() == 1; }));
+    run([this] {
+        gateway->beginStop(clock.now());
+        gateway->closeIdleSessions();
+        gateway->expireRequests();
+    });
+    CHECK(caller.readResponse().starts_with("HTTP/1.1 504"));
+}
+
+// Guards against a target that gets more time than is left of a stop, and is then cut off.
+TEST_CASE_FIXTURE(GatewayFixture, "gateway, request arrives in a stop, its time ends with the stop")
+{
+    addTarget("one", respond("200 OK", ""));
+    publish();
+    run([this] { gateway->beginStop(clock.now() + 700ms); });
+    CHECK(call("/write/x").starts_with("HTTP/1.1 200"));
+    CHECK(targets[0]->lastTimeLeft() <= 700);
+}
+
+// Guards against a request that is passed on although it cannot end before the process does.
+TEST_CASE_FIXTURE(SlowTargetFixture, "gateway, stop leaves too little time, refuses the request")
+{
+    publish();
+    run([this] { gateway->beginStop(clock.now() + 100ms); });
+    CHECK(call("/write/x").starts_with("HTTP/1.1 503"));
+    CHECK(targets[0]->requestCount() == 0);
+}
+
 // Load pattern: the targets of this VM's subset are full, and others of the service have free
 // slots. Guards against requests that are refused, or wait until they are late.
 TEST_CASE_FIXTURE(GatewayFixture, "gateway, subset of targets full, uses free ones outside of it")
