--- a/Source/Request/Loop/ProxyExchange.h
+++ b/Source/Request/Loop/ProxyExchange.h
@@ -62,7 +62,7 @@
      * progress go on, since their targets may be working on the request.
      */
     void attemptStalled();
-    /** Stops searching for a hedge, and waits for the attempts in progress. */
+    /** Stops searching for another target, and waits for the attempts in progress. */
     void awaitAttempts();
     /** Closes the connections of all attempts in progress. */
     void closeAttempts(HealthSignal healthSignal);
