Tests/Soak: Show VMs that act by old routes while relays lose the store

The soak had three VMs, one link to the store for all and one change of the routes after all faults, so that it could not see rule CONFIG.

SAPPHIRELADDER_SOAK_PROGRAM names the product that is run.

--- a/Tests/Soak/FakeStore.cpp
+++ b/Tests/Soak/FakeStore.cpp
@@ -6,6 +6,15 @@
 
 namespace Sapphireladder::Soak {
 
+namespace {
+
+std::int64_t clockMs()
+{
+    return toMilliseconds(SteadyClock().now().time_since_epoch());
+}
+
+} // namespace
+
 FakeStore::FakeStore()
     : m_server({"127.0.0.1", 0}, [this](Testbed::HttpExchangeContext &it) { handle(it); })
 {}
@@ -62,7 +71,7 @@
             rows.push_back(
                     {{"key", key}, {"value", encodeBase64(row.value)}, {"ver", row.version}});
     }
-    return {{"rows", rows}, {"ver", m_version}, {"truncated", false}};
+    return {{"rows", rows}, {"ver", m_version}, {"now_ms", clockMs()}, {"truncated", false}};
 }
 
 nlohmann::json FakeStore::feed(const std::string &table, std::uint64_t after, Duration wait)
@@ -80,7 +89,7 @@
         return !rows.empty();
     };
     m_changed.wait_for(lock, wait, collect);
-    return {{"rows", rows}, {"ver", m_version}};
+    return {{"rows", rows}, {"ver", m_version}, {"now_ms", clockMs()}};
 }
 
 void FakeStore::transact(const std::string &body)
--- a/Tests/Soak/FaultProxy.cpp
+++ b/Tests/Soak/FaultProxy.cpp
@@ -13,8 +13,6 @@
 
 /** Interval at which threads check whether the proxy was stopped. */
 const Poco::Timespan stopCheckInterval(0, 20000);
-/** Delay of each forwarded block in the mode Delay. */
-constexpr Duration blockDelay = 40ms;
 
 } // namespace
 
@@ -44,6 +42,13 @@
         it->isReset = true;
 }
 
+void FaultProxy::silenceAll()
+{
+    const std::lock_guard lock(m_mutex);
+    for (const auto &it : m_connections)
+        it->isSilent = true;
+}
+
 void FaultProxy::acceptConnections()
 {
     while (!m_isStopped) {
@@ -52,6 +57,10 @@
         const auto connection = std::make_shared<ProxiedConnection>();
         try {
             connection->client = m_socket.acceptConnection();
+            if (m_mode == LinkMode::Refuse) {
+                connection->client.setLinger(true, 0);
+                continue;
+            }
             connection->server.connect(Poco::Net::SocketAddress(m_server.host, m_server.port));
         } catch (const Poco::Exception &) {
             continue; // The server is unreachable; the client connection is closed.
@@ -66,7 +75,7 @@
 {
     try {
         while (!m_isStopped && !connection->isReset) {
-            const auto mode = m_mode.load();
+            const auto mode = connection->isSilent ? LinkMode::BlockBoth : m_mode.load();
             Poco::Net::Socket::SocketList readable;
             Poco::Net::Socket::SocketList none;
             Poco::Net::Socket::SocketList failed;
@@ -80,7 +89,7 @@
             }
             Poco::Net::Socket::select(readable, none, failed, stopCheckInterval);
             if (mode == LinkMode::Delay && !readable.empty())
-                std::this_thread::sleep_for(blockDelay);
+                std::this_thread::sleep_for(m_delay.load());
             for (const auto &it : readable) {
                 const bool isClient = it == connection->client;
                 if (!forward(isClient ? connection->client : connection->server,
--- /dev/null
+++ b/Tests/Soak/SoakGateway.cpp
@@ -0,0 +1,67 @@
+#include "Soak/SoakGateway.h"
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/SocketAddress.h>
+
+#include <cstdlib>
+#include <fstream>
+
+namespace Sapphireladder::Soak {
+
+namespace {
+
+std::string programPath()
+{
+    const char *path = std::getenv("SAPPHIRELADDER_SOAK_PROGRAM");
+    return path ? path : PRODUCT_PROGRAM;
+}
+
+} // namespace
+
+std::uint16_t findFreePort(const std::string &host)
+{
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress(host, 0));
+    return socket.address().port();
+}
+
+SoakGateway::SoakGateway(SoakGatewaySettings settings)
+    : m_settings(std::move(settings))
+    , m_endpoint{m_settings.host, findFreePort(m_settings.host)}
+    , m_ready{m_settings.host, findFreePort(m_settings.host)}
+    , m_metrics{m_settings.host, findFreePort(m_settings.host)}
+    , m_relay{m_settings.host, findFreePort(m_settings.host)}
+{
+    start();
+    m_settings.isFirstStart = false;
+}
+
+void SoakGateway::writeSettings() const
+{
+    std::ofstream out(m_settingsFile.path());
+    out << "vm: \"" << m_settings.vm << "\"\nzone: \"" << m_settings.zone
+        << "\"\ncaller_endpoint: \"" << m_endpoint.toString() << "\"\nready_endpoint: \""
+        << m_ready.toString() << "\"\nmetrics_endpoint: \"" << m_metrics.toString()
+        << "\"\nrelay_endpoint: \"" << m_relay.toString() << "\"\nplatform_endpoint: \""
+        << m_settings.store.toString() << "\"\ncores: " << m_settings.cores
+        << "\nfirst_start: " << (m_settings.isFirstStart ? "true" : "false")
+        << "\nstop_grace: \"6s\"\nchange_bound: \"2s\"\nasks_per_target: 60\n";
+}
+
+void SoakGateway::start()
+{
+    writeSettings();
+    m_process.reset();
+    m_process = std::make_unique<Scenarios::ChildProcess>(
+            "/bin/sh",
+            std::vector<std::string>{"-c", "exec '" + programPath() + "' gateway --settings '"
+                                                   + m_settingsFile.path() + "' >> '"
+                                                   + m_logFile.path() + "' 2>&1"});
+}
+
+std::string SoakGateway::log() const
+{
+    std::ifstream in(m_logFile.path());
+    return {std::istreambuf_iterator<char>(in), {}};
+}
+
+} // namespace Sapphireladder::Soak
--- /dev/null
+++ b/Tests/Soak/SoakGateway.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "Core/Core.h"
+#include "Scenarios/ChildProcess.h"
+
+#include <Poco/TemporaryFile.h>
+
+#include <memory>
+#include <string>
+
+namespace Sapphireladder::Soak {
+
+/** Settings of a gateway process of a soak. */
+struct SoakGatewaySettings
+{
+    std::string vm;
+    std::string zone = "z1";
+    /** Loopback address of the VM. */
+    std::string host = "127.0.0.1";
+    Endpoint store;
+    double cores = 1;
+    bool isFirstStart = false;
+};
+
+/** @return a port that was free at the time of the call. */
+std::uint16_t findFreePort(const std::string &host);
+
+/** A gateway process that can be restarted with the same addresses. */
+class SoakGateway
+{
+public:
+    /** Starts the program that SAPPHIRELADDER_SOAK_PROGRAM names, by default that of the build. */
+    explicit SoakGateway(SoakGatewaySettings settings);
+
+    void start();
+    Scenarios::ChildProcess &process() { return *m_process; }
+    const Endpoint &endpoint() const { return m_endpoint; }
+    const std::string &vm() const { return m_settings.vm; }
+    /** @return what all starts of the process have logged. */
+    std::string log() const;
+
+private:
+    void writeSettings() const;
+
+    SoakGatewaySettings m_settings;
+    const Endpoint m_endpoint;
+    const Endpoint m_ready;
+    const Endpoint m_metrics;
+    const Endpoint m_relay;
+    Poco::TemporaryFile m_settingsFile;
+    Poco::TemporaryFile m_logFile;
+    std::unique_ptr<Scenarios::ChildProcess> m_process;
+};
+
+} // namespace Sapphireladder::Soak
--- a/Tests/Soak/SoakTest.cpp
+++ b/Tests/Soak/SoakTest.cpp
@@ -1,16 +1,13 @@
-#include "Scenarios/ChildProcess.h"
 #include "Soak/FakeStore.h"
 #include "Soak/FakeTarget.h"
 #include "Soak/FaultProxy.h"
 #include "Soak/SoakCaller.h"
-
-#include <Poco/TemporaryFile.h>
+#include "Soak/SoakGateway.h"
 
 #include <doctest/doctest.h>
 
 #include <csignal>
 #include <cstdlib>
-#include <fstream>
 #include <functional>
 #include <random>
 
@@ -41,12 +38,6 @@
 /** Seeds that CI runs. A seed that has failed is added here, with a comment on the cause. */
 constexpr unsigned ciSeeds[] = {1, 2};
 
-std::uint16_t freePort()
-{
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1", 0));
-    return socket.address().port();
-}
-
 std::string makeRoutes(unsigned version, bool hasNewRoute)
 {
     auto paths = nlohmann::json::array();
@@ -71,49 +62,6 @@
             .dump();
 }
 
-/** A gateway process that can be restarted with the same addresses. */
-class SoakGateway
-{
-public:
-    SoakGateway(std::size_t i, const Endpoint &store)
-        : m_endpoint{"127.0.0.1", freePort()}
-    {
-        std::ofstream out(m_settingsFile.path());
-        out << "vm: \"vm-" << i << "\"\nzone: \"z1\"\ncaller_endpoint: \"" << m_endpoint.toString()
-            << "\"\n";
-        for (const auto *name : {"ready_endpoint", "metrics_endpoint", "relay_endpoint"})
-            out << name << ": \"127.0.0.1:" << freePort() << "\"\n";
-        out << "platform_endpoint: \"" << store.toString()
-            << "\"\nstop_grace: \"6s\"\nchange_bound: \"2s\"\nasks_per_target: 60\n";
-        out.close();
-        start();
-    }
-
-    void start()
-    {
-        m_process.reset();
-        m_process = std::make_unique<Scenarios::ChildProcess>(
-                "/bin/sh",
-                std::vector<std::string>{"-c", "exec '" PRODUCT_PROGRAM "' gateway --settings '"
-                                                       + m_settingsFile.path() + "' >> '"
-                                                       + m_logFile.path() + "' 2>&1"});
-    }
-
-    Scenarios::ChildProcess &process() { return *m_process; }
-    const Endpoint &endpoint() const { return m_endpoint; }
-    std::string log() const
-    {
-        std::ifstream in(m_logFile.path());
-        return {std::istreambuf_iterator<char>(in), {}};
-    }
-
-private:
-    const Endpoint m_endpoint;
-    Poco::TemporaryFile m_settingsFile;
-    Poco::TemporaryFile m_logFile;
-    std::unique_ptr<Scenarios::ChildProcess> m_process;
-};
-
 /** One soak run: injects faults into gateways, targets and store while callers send requests. */
 class SoakRun
 {
@@ -130,7 +78,8 @@
         }
         m_store.put("servers", "i-broken", "{\"service\": 7}");
         for (std::size_t i = 0; i < gatewayCount; ++i)
-            m_gateways.push_back(std::make_unique<SoakGateway>(i, m_storeLink.endpoint()));
+            m_gateways.push_back(std::make_unique<SoakGateway>(SoakGatewaySettings{
+                    .vm = "vm-" + std::to_string(i), .store = m_storeLink.endpoint()}));
         for (std::size_t i = 0; i < gatewayCount; ++i)
             waitUntilServing(i);
     }
