Process, platform: Measure the age of a VM's tables along the way through relays

A copy of a table is complete until the moment at which the store made the response. StoreClock takes it from the store's clock in the response, a response to a query carries it relative to the query's receipt, and the client counts from the sending of its query: neither clocks of other VMs nor delays make a copy look more recent than it is. preset-applied has source and age_ms, tables-outdated (612) and tables-current (613) are new, metrics have the age of routes and targets and the source of the routes. No decision is changed.

--- a/Source/Core/Event.cpp
+++ b/Source/Core/Event.cpp
@@ -54,6 +54,8 @@
         {EventId::VmListUnavailable, Severity::Warning, "vm-list-unavailable"},
         {EventId::DependencyLost, Severity::Warning, "dependency-lost"},
         {EventId::DependencyRegained, Severity::Info, "dependency-regained"},
+        {EventId::TablesOutdated, Severity::Warning, "tables-outdated"},
+        {EventId::TablesCurrent, Severity::Info, "tables-current"},
         {EventId::ShutdownStep, Severity::Info, "shutdown-step"},
         {EventId::SettingsReloaded, Severity::Info, "settings-reloaded"},
         {EventId::SettingsRejected, Severity::Warning, "settings-rejected"},
--- a/Source/Core/Event.h
+++ b/Source/Core/Event.h
@@ -62,6 +62,8 @@
     VmListUnavailable = 602,
     DependencyLost = 610,
     DependencyRegained = 611,
+    TablesOutdated = 612,
+    TablesCurrent = 613,
     ShutdownStep = 700,
     SettingsReloaded = 710,
     SettingsRejected = 711,
--- a/Source/Process/GatewayControl.cpp
+++ b/Source/Process/GatewayControl.cpp
@@ -28,6 +28,12 @@
     , m_clock(clock)
 {}
 
+void GatewayControl::tableUpdated(Dependency table, const TableOrigin &origin)
+{
+    m_origin = origin;
+    m_freshness->set(table, origin.completeUntil);
+}
+
 void GatewayControl::routesReceived(RouteTableContent content)
 {
     const auto version = content.version;
@@ -48,7 +54,11 @@
     m_routes = std::move(table.value());
     ++m_counters.routesApplied;
     m_events.record(EventId::PresetApplied,
-                    {{"version", std::to_string(version)}, {"previous", std::to_string(current)}});
+                    {{"version", std::to_string(version)},
+                     {"previous", std::to_string(current)},
+                     {"source", m_origin.name()},
+                     {"age_ms", millisecondsSince(m_origin.completeUntil, m_clock.now())}});
+    m_routesSource = m_origin.name();
     m_isDirty = true;
 }
 
@@ -155,6 +165,8 @@
     m_isDirty = false;
     auto snapshot = std::make_shared<GatewaySnapshot>();
     snapshot->routes = m_routes;
+    snapshot->routesSource = m_routesSource;
+    snapshot->freshness = m_freshness;
     snapshot->targets = m_directory.records();
     snapshot->fleetSize = m_fleetSize;
     snapshot->hasReadTargets = m_hasReadTargets;
--- a/Source/Process/GatewayControl.h
+++ b/Source/Process/GatewayControl.h
@@ -40,6 +40,7 @@
     /** The references must outlive the object. */
     GatewayControl(SnapshotSink &sink, EventSink &events, const Clock &clock);
 
+    void tableUpdated(Dependency table, const TableOrigin &origin) override;
     void routesReceived(RouteTableContent content) override;
     void routesRejected(const Error &error) override;
     void targetsReceived(std::span<const TargetRecord> records) override;
@@ -70,6 +71,11 @@
     EventSink &m_events;
     const Clock &m_clock;
     std::shared_ptr<const RouteTable> m_routes;
+    /** Where the routes in force come from. */
+    std::string m_routesSource;
+    /** The origin of the response whose changes are being delivered. */
+    TableOrigin m_origin;
+    std::shared_ptr<TableFreshness> m_freshness = std::make_shared<TableFreshness>();
     TargetDirectory m_directory;
     /** Invalid records and their errors, so that each is logged once and not for each read. */
     std::map<TargetId, std::string> m_rejectedRecords;
--- a/Source/Process/GatewaySnapshot.h
+++ b/Source/Process/GatewaySnapshot.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Process/TableFreshness.h"
 #include "Process/TargetDirectory.h"
 #include "Version/Version.h"
 
@@ -13,11 +14,15 @@
 {
     /** Null until the first version of the routes has been received. */
     std::shared_ptr<const RouteTable> routes;
+    /** The VM that relayed the routes, or "store". */
+    std::string routesSource;
     std::vector<TargetRecord> targets;
     /** Upper estimate of the number of running VMs, including this one. */
     unsigned fleetSize = 1;
     /** Whether the target registry has been read since the start. */
     bool hasReadTargets = false;
+    /** Until when the routes and targets are complete. Null if no table was received. */
+    std::shared_ptr<const TableFreshness> freshness;
 };
 
 /** Receives each new snapshot. */
--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -310,7 +310,15 @@
         std::string_view kind;
         std::uint64_t value;
     };
+    const auto ageMs = [this](Dependency table) {
+        const auto &freshness = m_snapshot->freshness;
+        const auto age = freshness ? freshness->age(table, m_context.clock.now())
+                                   : Duration::zero();
+        return static_cast<std::uint64_t>(std::max<std::int64_t>(0, toMilliseconds(age)));
+    };
     const Row rows[] = {
+            {"sapphireladder_routes_age_milliseconds", "gauge", ageMs(Dependency::RouteSource)},
+            {"sapphireladder_targets_age_milliseconds", "gauge", ageMs(Dependency::TargetRegistry)},
             {"sapphireladder_route_version", "gauge",
              m_snapshot->routes ? m_snapshot->routes->version() : 0},
             {"sapphireladder_targets", "gauge", m_upstreamEntries.size()},
@@ -329,6 +337,9 @@
     std::ostringstream out;
     for (const auto &it : rows)
         out << "# TYPE " << it.name << ' ' << it.kind << '\n' << it.name << ' ' << it.value << '\n';
+    if (m_snapshot->routes)
+        out << "# TYPE sapphireladder_route_source gauge\nsapphireladder_route_source{vm=\""
+            << m_snapshot->routesSource << "\"} 1\n";
     out << m_metrics.toText();
     return out.str();
 }
--- a/Source/Process/Loop/PlatformSession.cpp
+++ b/Source/Process/Loop/PlatformSession.cpp
@@ -97,6 +97,7 @@
 {
     return {m_context,
             store,
+            m_storeClock,
             m_mirror,
             m_feed,
             table,
@@ -163,6 +164,11 @@
     return isFollowing() && isNew && !isFailing ? RelayState::Starting : RelayState::Unavailable;
 }
 
+TimePoint PlatformSession::completeUntil(RowTable table) const
+{
+    return m_mirror.origin(table).completeUntil;
+}
+
 void PlatformSession::queryReceived(const VmId &vm)
 {
     m_clients.recordQuery(vm, m_context.clock.now());
@@ -344,6 +350,7 @@
     }
     notifyOnStateChange();
     logRole(role);
+    logFreshness(now);
     scheduleSupervision(superviseDelay(now));
 }
 
@@ -396,6 +403,22 @@
     m_events.record(EventId::RelayRoleChanged, {{"role", text}});
 }
 
+void PlatformSession::logFreshness(TimePoint now)
+{
+    const auto age = [&](RowTable table) { return now - m_mirror.origin(table).completeUntil; };
+    const auto *oldest = std::max_element(rowTables.begin(), rowTables.end(),
+                                          [&](auto a, auto b) { return age(a) < age(b); });
+    if (!m_mirror.isKnown(*oldest))
+        return;
+    const bool isOutdated = age(*oldest) > m_maxChangeDelay;
+    if (std::exchange(m_areTablesOutdated, isOutdated) == isOutdated)
+        return;
+    m_events.record(isOutdated ? EventId::TablesOutdated : EventId::TablesCurrent,
+                    {{"table", std::string(nameOf(dependencyOf(*oldest)))},
+                     {"age_ms", std::to_string(toMilliseconds(age(*oldest)))},
+                     {"source", m_mirror.origin(*oldest).name()}});
+}
+
 void PlatformSession::scheduleFleetCall(Duration delay, void (PlatformSession::*action)())
 {
     // Jitter of 25 % keeps VMs that start together from calling at the same time.
--- a/Source/Process/Loop/PlatformSession.h
+++ b/Source/Process/Loop/PlatformSession.h
@@ -30,6 +30,7 @@
 
     // RelayHost
     RelayState relayState() const override;
+    TimePoint completeUntil(RowTable table) const override;
     void queryReceived(const VmId &vm) override;
     const FleetList &fleet() const override { return m_fleet; }
     unsigned fleetSize() const override { return m_fleetSize; }
@@ -43,6 +44,8 @@
     TableFollower makeFollower(PlatformStore &store, RowTable table, Duration maxChangeDelay);
     bool isUpToDate() const;
     bool isFollowing() const;
+    /** Logs when the tables, whatever their source, become too old or recent again. */
+    void logFreshness(TimePoint now);
     void recordLinkResponses();
     void notifyOnStateChange();
     /** Writes this VM's entry in the fleet list. */
@@ -73,6 +76,7 @@
     const Duration m_maxChangeDelay;
     const Duration m_maxRecoveryDelay;
     RowMirror m_mirror;
+    StoreClock m_storeClock;
     std::array<TableFollower, rowTableCount> m_followers;
     RelayServer m_server;
     RelayPlan m_plan;
@@ -93,6 +97,7 @@
     /** When the VM last began to follow the store. */
     TimePoint m_followingSince{};
     bool m_wasUpToDate = false;
+    bool m_areTablesOutdated = false;
     std::string m_loggedRole;
 };
 
--- a/Source/Process/Loop/RelayCodec.cpp
+++ b/Source/Process/Loop/RelayCodec.cpp
@@ -176,6 +176,33 @@
     return numbers.empty() && !query.vm.isEmpty() ? std::optional(query) : std::nullopt;
 }
 
+std::string encodeRelayTimes(const RelayTimes &times)
+{
+    std::string value;
+    for (const auto &it : times) {
+        // Rounded down, so that the copy never looks more recent than it is.
+        const auto ms = std::chrono::floor<std::chrono::milliseconds>(it).count();
+        value += (value.empty() ? "" : ",") + std::to_string(ms);
+    }
+    return value;
+}
+
+std::optional<RelayTimes> decodeRelayTimes(std::string_view value)
+{
+    RelayTimes times{};
+    for (auto &it : times) {
+        const auto end = std::min(value.find(','), value.size());
+        const bool isNegative = value.starts_with('-');
+        const auto ms = parseUnsigned(value.substr(isNegative ? 1 : 0, end - (isNegative ? 1 : 0)));
+        constexpr std::uint64_t maxMs = 1'000'000'000;
+        if (!ms || ms.value() > maxMs)
+            return std::nullopt;
+        it = std::chrono::milliseconds(ms.value()) * (isNegative ? -1 : 1);
+        value.remove_prefix(std::min(end + 1, value.size()));
+    }
+    return times;
+}
+
 std::string encodeRelayChanges(const RelayChanges &changes)
 {
     Json object = Json::object();
--- a/Source/Process/Loop/RelayCodec.h
+++ b/Source/Process/Loop/RelayCodec.h
@@ -43,6 +43,15 @@
     std::optional<FleetList> fleet;
 };
 
+/**
+ * For each table, until when the response's copy is complete, relative to the receipt of the query.
+ * Negative if that was earlier. Independent of clocks of other VMs and of delays on the way.
+ */
+using RelayTimes = std::array<Duration, rowTableCount>;
+
+/** Header field of a response with its RelayTimes. */
+constexpr std::string_view relayTimesHeader = "Sapphireladder-Complete-Until-Ms";
+
 /** Path of the relay endpoint. */
 constexpr std::string_view relayPath = "/relay/changes";
 
@@ -50,6 +59,10 @@
 std::string encodeRelayTarget(const RelayQuery &query);
 /** @return the query, or nothing if the request target is not a valid relay query. */
 std::optional<RelayQuery> decodeRelayTarget(std::string_view target);
+/** @return the value of the header field. */
+std::string encodeRelayTimes(const RelayTimes &times);
+/** @return the times, or nothing if the value is not valid. */
+std::optional<RelayTimes> decodeRelayTimes(std::string_view value);
 /** @return the encoded changes, compressed if they are large. */
 std::string encodeRelayChanges(const RelayChanges &changes);
 /** @return the changes, or ProcessError::PeerMessageInvalid. */
--- a/Source/Process/Loop/RelayLink.cpp
+++ b/Source/Process/Loop/RelayLink.cpp
@@ -1,5 +1,7 @@
 #include "Process/Loop/ProcessLoop.h"
 
+#include <algorithm>
+
 namespace Sapphireladder {
 
 namespace {
@@ -16,6 +18,21 @@
 /** Maximum size of a response body. The records of 2,400 targets take about 500 KB. */
 constexpr std::size_t maxResponseBytes = 4 * mebibyte;
 
+/** @return how recent a response is. One of an older program version does not state it. */
+RelayTimes relayTimesOf(const Response &response, Duration timeSinceQuery)
+{
+    const auto &headers = response.headers;
+    const auto field = std::find_if(headers.begin(), headers.end(), [](const auto &it) {
+        return equalsIgnoringCase(it.name, relayTimesHeader);
+    });
+    const auto times = field == headers.end() ? std::nullopt : decodeRelayTimes(field->value);
+    if (times)
+        return *times;
+    RelayTimes now;
+    now.fill(timeSinceQuery);
+    return now;
+}
+
 } // namespace
 
 RelayLink::RelayLink(LoopContext &context, RowMirror &mirror, VmId self, FleetMember member,
@@ -56,6 +73,7 @@
         query.positions[static_cast<std::size_t>(table)] = m_mirror.position(table);
     // The first response shows whether the other VM follows the store, so it is requested at once.
     query.isImmediate = !m_lastResponseAt;
+    m_queriedAt = m_context.clock.now();
     UpstreamRequest request;
     request.bytes = "GET " + encodeRelayTarget(query)
                     + " HTTP/1.1\r\nHost: " + m_member.relayEndpoint.toString() + "\r\n\r\n";
@@ -82,13 +100,8 @@
         return;
     }
     m_lastResponseAt = m_context.clock.now();
-    for (const auto table : rowTables) {
-        const auto &received = changes.value().tables[static_cast<std::size_t>(table)];
-        if (received.isFullTable)
-            m_mirror.replaceAll(table, received.rows, received.position);
-        else
-            m_mirror.apply(table, received.rows, received.position);
-    }
+    applyChanges(changes.value(),
+                 relayTimesOf(answered->response, m_context.clock.now() - m_queriedAt));
     const auto &fleet = changes.value().fleet;
     m_observer.fleetReceived(fleet ? &*fleet : nullptr, changes.value().fleetSize);
     if (m_isStopped)
@@ -99,4 +112,19 @@
         start();
 }
 
+void RelayLink::applyChanges(const RelayChanges &changes, const RelayTimes &times)
+{
+    const auto now = m_context.clock.now();
+    for (const auto table : rowTables) {
+        const auto i = static_cast<std::size_t>(table);
+        // The query was received after it was sent, so that this errs on the early side.
+        const TableOrigin origin{m_member.vm, std::min(now, m_queriedAt + times[i])};
+        const auto &received = changes.tables[i];
+        if (received.isFullTable)
+            m_mirror.replaceAll(table, received.rows, received.position, origin);
+        else
+            m_mirror.apply(table, received.rows, received.position, origin);
+    }
+}
+
 } // namespace Sapphireladder
--- a/Source/Process/Loop/RelayLink.h
+++ b/Source/Process/Loop/RelayLink.h
@@ -53,6 +53,7 @@
 private:
     void sendQuery();
     void handleResponse(const AttemptResult &result);
+    void applyChanges(const RelayChanges &changes, const RelayTimes &times);
 
     LoopContext &m_context;
     RowMirror &m_mirror;
@@ -60,6 +61,7 @@
     const FleetMember m_member;
     RelayLinkObserver &m_observer;
     std::shared_ptr<UpstreamConnection> m_connection;
+    TimePoint m_queriedAt{};
     std::optional<TimePoint> m_lastResponseAt;
     bool m_isStopped = false;
 };
--- a/Source/Process/Loop/RelayServer.cpp
+++ b/Source/Process/Loop/RelayServer.cpp
@@ -21,6 +21,7 @@
     PendingQuery(RelayServer &server, RelayQuery query, ReplyHandler reply)
         : m_server(server)
         , m_query(std::move(query))
+        , m_receivedAt(server.m_context.clock.now())
         , m_reply(std::move(reply))
         , m_timer(server.m_context.io)
     {}
@@ -40,7 +41,7 @@
     {
         if (!m_reply)
             return;
-        auto outcome = m_server.outcomeFor(m_query, isTimedOut);
+        auto outcome = m_server.outcomeFor(m_query, m_receivedAt, isTimedOut);
         if (!outcome)
             return;
         m_timer.cancel();
@@ -57,6 +58,7 @@
 private:
     RelayServer &m_server;
     const RelayQuery m_query;
+    const TimePoint m_receivedAt;
     ReplyHandler m_reply;
     LoopTimer m_timer;
 };
@@ -89,7 +91,18 @@
     return pending;
 }
 
-std::optional<RequestOutcome> RelayServer::outcomeFor(const RelayQuery &query, bool isTimedOut)
+RequestOutcome RelayServer::makeResponse(std::string body, TimePoint receivedAt) const
+{
+    RelayTimes times;
+    for (const auto table : rowTables)
+        times[static_cast<std::size_t>(table)] = m_host.completeUntil(table) - receivedAt;
+    auto response = textResponse(std::move(body));
+    response.headers.push_back({std::string(relayTimesHeader), encodeRelayTimes(times)});
+    return response;
+}
+
+std::optional<RequestOutcome> RelayServer::outcomeFor(const RelayQuery &query, TimePoint receivedAt,
+                                                      bool isTimedOut)
 {
     const auto state = m_host.relayState();
     if (state == RelayState::Starting && !isTimedOut)
@@ -98,14 +111,14 @@
         return Refusal{RefusalReason::NoPreset};
     const auto changes = changesFor(query);
     if (changes)
-        return textResponse(*changes);
+        return makeResponse(*changes, receivedAt);
     if (!isTimedOut && !query.isImmediate)
         return std::nullopt;
     RelayChanges nothing;
     nothing.fleetSize = m_host.fleetSize();
     for (const auto table : rowTables)
         nothing.tables[static_cast<std::size_t>(table)].position = m_mirror.position(table);
-    return textResponse(encodeRelayChanges(nothing));
+    return makeResponse(encodeRelayChanges(nothing), receivedAt);
 }
 
 std::shared_ptr<const std::string> RelayServer::changesFor(const RelayQuery &query)
--- a/Source/Process/Loop/RelayServer.h
+++ b/Source/Process/Loop/RelayServer.h
@@ -27,6 +27,8 @@
 public:
     virtual ~RelayHost() = default;
     virtual RelayState relayState() const = 0;
+    /** @return the time until which the table has all changes that the store confirmed. */
+    virtual TimePoint completeUntil(RowTable table) const = 0;
     /** Called when another VM queries for changes. This VM follows the store while queries arrive.
      */
     virtual void queryReceived(const VmId &vm) = 0;
@@ -62,7 +64,10 @@
     /** A long-poll query that has no response yet. */
     class PendingQuery;
 
-    std::optional<RequestOutcome> outcomeFor(const RelayQuery &query, bool isTimedOut);
+    std::optional<RequestOutcome> outcomeFor(const RelayQuery &query, TimePoint receivedAt,
+                                             bool isTimedOut);
+    /** @return a response that states how recent it is. */
+    RequestOutcome makeResponse(std::string body, TimePoint receivedAt) const;
     /** @return the encoded changes since the query's positions; nothing if there are none. */
     std::shared_ptr<const std::string> changesFor(const RelayQuery &query);
     std::string encodeChanges(const RelayQuery &query, bool &hasNews) const;
--- a/Source/Process/Loop/TableFollower.cpp
+++ b/Source/Process/Loop/TableFollower.cpp
@@ -21,11 +21,12 @@
 
 } // namespace
 
-TableFollower::TableFollower(LoopContext &context, PlatformStore &store, RowMirror &mirror,
-                             PlatformFeed &feed, RowTable table, Duration batchDelay,
-                             ResponseHandler responseHandler)
+TableFollower::TableFollower(LoopContext &context, PlatformStore &store, StoreClock &storeClock,
+                             RowMirror &mirror, PlatformFeed &feed, RowTable table,
+                             Duration batchDelay, ResponseHandler responseHandler)
     : m_context(context)
     , m_store(store)
+    , m_storeClock(storeClock)
     , m_mirror(mirror)
     , m_feed(feed)
     , m_table(table)
@@ -79,6 +80,8 @@
     if (!m_isRunning)
         return;
     m_isCallPending = true;
+    m_calledAt = m_context.clock.now();
+    m_wait = Duration::zero();
     if (needsFullRead())
         readPage();
     else
@@ -87,6 +90,7 @@
 
 void TableFollower::readPage()
 {
+    m_calledAt = m_context.clock.now();
     const std::string from = m_rowsRead.empty() ? std::string() : m_rowsRead.back().key;
     m_store.readRows(m_table, from, makeHandler(&TableFollower::handlePage));
 }
@@ -102,6 +106,7 @@
     if (m_rowsRead.empty()) {
         // Rows that change while later pages are read are delivered again as changes.
         m_firstPagePosition = page.value().position;
+        m_firstPageOrigin = originOf(page.value());
     } else if (!rows.empty() && rows.front().key == m_rowsRead.back().key) {
         rows.erase(rows.begin());
     }
@@ -115,7 +120,7 @@
     m_isHistoryGone = false;
     m_lastResponseAt = m_context.clock.now();
     const auto all = std::exchange(m_rowsRead, {});
-    m_mirror.replaceAll(m_table, all, m_firstPagePosition);
+    m_mirror.replaceAll(m_table, all, m_firstPagePosition, m_firstPageOrigin);
     m_responseHandler();
     callNext();
 }
@@ -130,10 +135,19 @@
     // A call after a failure does not wait either, since this VM counts as failing until then.
     const auto wait = isFailing() ? Duration::zero()
                                   : std::max(Duration::zero(), m_pollWait - timeSinceResponse);
+    m_wait = std::chrono::floor<std::chrono::milliseconds>(wait);
     m_store.awaitChanges(m_table, m_mirror.position(m_table), wait,
                          makeHandler(&TableFollower::handleChanges));
 }
 
+TableOrigin TableFollower::originOf(const SourceRows &response)
+{
+    // The store holds a response without changes for the whole wait.
+    const auto earliest = response.rows.empty() ? m_calledAt + m_wait : m_calledAt;
+    return {{},
+            m_storeClock.responseMadeAfter(earliest, m_context.clock.now(), response.storeTime)};
+}
+
 void TableFollower::handleChanges(Result<SourceRows> changes)
 {
     if (!changes) {
@@ -146,7 +160,8 @@
     }
     m_failureCount = 0;
     m_lastResponseAt = m_context.clock.now();
-    m_mirror.apply(m_table, changes.value().rows, changes.value().position);
+    m_mirror.apply(m_table, changes.value().rows, changes.value().position,
+                   originOf(changes.value()));
     m_responseHandler();
     if (changes.value().rows.empty())
         callNext();
--- a/Source/Process/Loop/TableFollower.h
+++ b/Source/Process/Loop/TableFollower.h
@@ -31,11 +31,13 @@
 
     /**
      * The references must outlive the follower.
+     * @param storeClock shared with the followers of other tables
      * @param batchDelay delay of the next call after a change, during which the store collects
      * further changes
      */
-    TableFollower(LoopContext &context, PlatformStore &store, RowMirror &mirror, PlatformFeed &feed,
-                  RowTable table, Duration batchDelay, ResponseHandler responseHandler);
+    TableFollower(LoopContext &context, PlatformStore &store, StoreClock &storeClock,
+                  RowMirror &mirror, PlatformFeed &feed, RowTable table, Duration batchDelay,
+                  ResponseHandler responseHandler);
 
     /** Reads the table unless the mirror already has it, then follows its changes. */
     void start();
@@ -71,12 +73,15 @@
     void awaitChanges();
     void handleChanges(Result<SourceRows> changes);
     void handleFailure(const Error &error);
+    /** @return the origin of a response to the last call. */
+    TableOrigin originOf(const SourceRows &response);
     /** @return delay before the next call, from the number of consecutive failures. */
     Duration retryDelay() const;
     void scheduleCall(Duration delay);
 
     LoopContext &m_context;
     PlatformStore &m_store;
+    StoreClock &m_storeClock;
     RowMirror &m_mirror;
     PlatformFeed &m_feed;
     const RowTable m_table;
@@ -100,6 +105,11 @@
     std::vector<SourceRow> m_rowsRead;
     /** Position at which the first page was read. */
     std::uint64_t m_firstPagePosition = 0;
+    /** Origin of the first page. */
+    TableOrigin m_firstPageOrigin;
+    TimePoint m_calledAt{};
+    /** How long the store may hold the response to the last call. */
+    Duration m_wait{};
     std::optional<TimePoint> m_lastResponseAt;
     unsigned m_failureCount = 0;
 };
--- a/Source/Process/PlatformFeed.h
+++ b/Source/Process/PlatformFeed.h
@@ -21,12 +21,26 @@
 /** @return the dependency's name in log events. */
 std::string_view nameOf(Dependency dependency);
 
+/** Where a VM's copy of a table comes from, and how recent it is. */
+struct TableOrigin
+{
+    /** The VM that relayed the copy; empty if it was read from the store. */
+    VmId relay;
+    /** The copy has all changes that the store confirmed before this time. */
+    TimePoint completeUntil{};
+
+    /** @return the name of the source for logs and metrics. */
+    std::string name() const { return relay.isEmpty() ? "store" : relay.string(); }
+};
+
 /** Receives decoded data from the platform. Called on the control thread only. */
 class PlatformFeed
 {
 public:
     virtual ~PlatformFeed() = default;
 
+    /** A response for a table arrived. Called before its changes are delivered. */
+    virtual void tableUpdated(Dependency table, const TableOrigin &origin) = 0;
     /** The operator's routes were received. They may be older than the current ones. */
     virtual void routesReceived(RouteTableContent content) = 0;
     /** The operator's routes could not be decoded. */
--- a/Source/Process/PlatformStore.h
+++ b/Source/Process/PlatformStore.h
@@ -48,6 +48,8 @@
     std::uint64_t position = 0;
     /** More rows follow in the next page. */
     bool isTruncated = false;
+    /** Steady clock of the store when it made the response, if stated. */
+    std::optional<Duration> storeTime = std::nullopt;
 };
 
 /** Smallest hashes of the ids of a set of VMs; see VmSketch. */
--- a/Source/Process/RowMirror.cpp
+++ b/Source/Process/RowMirror.cpp
@@ -15,7 +15,17 @@
     , m_feed(feed)
 {}
 
-void RowMirror::replaceAll(RowTable table, std::span<const SourceRow> rows, std::uint64_t position)
+void RowMirror::updateOrigin(RowTable table, const TableOrigin &origin)
+{
+    auto &known = stateOf(table).origin;
+    if (origin.completeUntil < known.completeUntil)
+        return;
+    known = origin;
+    m_feed.tableUpdated(dependencyOf(table), origin);
+}
+
+void RowMirror::replaceAll(RowTable table, std::span<const SourceRow> rows, std::uint64_t position,
+                           const TableOrigin &origin)
 {
     auto &local = stateOf(table);
     // A peer may have relayed newer changes while the read was in flight.
@@ -38,13 +48,15 @@
         local.completeSince = position;
     local.isKnown = true;
     m_feed.dependencyResponded(dependencyOf(table));
+    updateOrigin(table, origin);
     m_translator.translateAll(table, allRows(table), m_feed);
     m_feed.changesComplete();
     if (m_changeHandler)
         m_changeHandler();
 }
 
-bool RowMirror::apply(RowTable table, std::span<const SourceRow> rows, std::uint64_t position)
+bool RowMirror::apply(RowTable table, std::span<const SourceRow> rows, std::uint64_t position,
+                      const TableOrigin &origin)
 {
     auto &local = stateOf(table);
     std::vector<SourceRow> newer;
@@ -55,6 +67,7 @@
     local.position = std::max(local.position, position);
     discardOldTombstones(local);
     m_feed.dependencyResponded(dependencyOf(table));
+    updateOrigin(table, origin);
     if (newer.empty())
         return false;
     m_translator.translateChanges(table, newer, m_feed);
--- a/Source/Process/RowMirror.h
+++ b/Source/Process/RowMirror.h
@@ -24,17 +24,21 @@
     RowMirror(const RowTranslator &translator, PlatformFeed &feed);
 
     /** Replaces the content of a table after a complete read. */
-    void replaceAll(RowTable table, std::span<const SourceRow> rows, std::uint64_t position);
+    void replaceAll(RowTable table, std::span<const SourceRow> rows, std::uint64_t position,
+                    const TableOrigin &origin);
     /**
      * Applies changed rows of a table.
      * @param position position up to which the source has all changes
      * @return whether any row was newer than the local copy.
      */
-    bool apply(RowTable table, std::span<const SourceRow> rows, std::uint64_t position);
+    bool apply(RowTable table, std::span<const SourceRow> rows, std::uint64_t position,
+               const TableOrigin &origin);
 
     /** @return whether the table has been read completely. */
     bool isKnown(RowTable table) const { return stateOf(table).isKnown; }
     std::uint64_t position(RowTable table) const { return stateOf(table).position; }
+    /** @return the most recent source of the table. */
+    const TableOrigin &origin(RowTable table) const { return stateOf(table).origin; }
     /** @return rows changed after the position, or nothing if some of them were discarded. */
     std::optional<std::vector<SourceRow>> changesSince(RowTable table,
                                                        std::uint64_t position) const;
@@ -52,6 +56,7 @@
         /** All changes after this position are known. */
         std::uint64_t completeSince = 0;
         bool isKnown = false;
+        TableOrigin origin;
     };
 
     TableState &stateOf(RowTable table) { return m_tables[static_cast<std::size_t>(table)]; }
@@ -59,6 +64,7 @@
     {
         return m_tables[static_cast<std::size_t>(table)];
     }
+    void updateOrigin(RowTable table, const TableOrigin &origin);
     bool storeIfNewer(TableState &table, const SourceRow &row);
     void discardOldTombstones(TableState &table);
 
--- a/Tests/Platform/OddRowsTest.cpp
+++ b/Tests/Platform/OddRowsTest.cpp
@@ -109,7 +109,7 @@
 TEST_CASE_FIXTURE(OddRowsFixture, "odd rows, in the table of targets, leave the sound one in use")
 {
     const auto all = rows();
-    mirror.replaceAll(RowTable::Targets, all.rows, all.position);
+    mirror.replaceAll(RowTable::Targets, all.rows, all.position, {});
     REQUIRE(sink.last);
     REQUIRE(sink.last->targets.size() == 1);
     CHECK(sink.last->targets.front().id == TargetId("sound"));
@@ -117,14 +117,14 @@
     CHECK(events.longestField <= 300);
 
     // A second read of the same rows is not logged again.
-    mirror.replaceAll(RowTable::Targets, all.rows, all.position + 1);
+    mirror.replaceAll(RowTable::Targets, all.rows, all.position + 1, {});
     CHECK(events.rejected == oddValues().size());
     CHECK(sink.last->targets.size() == 1);
 
     // Changes go on.
     const SourceRow changed[] = {{"odd-0", nested(50'000), 12, false},
                                  {"sound-2", soundValue(), 13, false}};
-    mirror.apply(RowTable::Targets, changed, 13);
+    mirror.apply(RowTable::Targets, changed, 13, {});
     CHECK(sink.last->targets.size() == 2);
 }
 
@@ -135,7 +135,7 @@
     changes.tables[1] = {10, rows().rows, true};
     const auto decoded = decodeRelayChanges(encodeRelayChanges(changes));
     REQUIRE(decoded);
-    mirror.replaceAll(RowTable::Targets, decoded.value().tables[1].rows, 10);
+    mirror.replaceAll(RowTable::Targets, decoded.value().tables[1].rows, 10, {});
     REQUIRE(sink.last);
     CHECK(sink.last->targets.size() == 1);
 }
@@ -145,7 +145,7 @@
 {
     for (const auto &it : oddValues()) {
         const SourceRow row[] = {{"config", it, 3, false}};
-        mirror.replaceAll(RowTable::Routes, row, 3);
+        mirror.replaceAll(RowTable::Routes, row, 3, {});
     }
     CHECK((!sink.last || !sink.last->routes));
     CHECK(control.counters().routesRejected == oddValues().size());
--- a/Tests/Process/FleetRelayTest.cpp
+++ b/Tests/Process/FleetRelayTest.cpp
@@ -115,6 +115,8 @@
     {
         SourceRows found;
         found.position = m_content.position;
+        found.storeTime = std::chrono::floor<std::chrono::milliseconds>(
+                std::chrono::steady_clock::now().time_since_epoch());
         for (const auto &[key, row] : m_content.tables[static_cast<std::size_t>(table)]) {
             if (row.version > position)
                 found.rows.push_back(row);
@@ -183,6 +185,7 @@
 class ChangeCounter final : public PlatformFeed
 {
 public:
+    void tableUpdated(Dependency, const TableOrigin &) override {}
     void routesReceived(RouteTableContent) override {}
     void routesRejected(const Error &) override {}
     void targetsReceived(std::span<const TargetRecord>) override {}
--- a/Tests/Process/RelayTest.cpp
+++ b/Tests/Process/RelayTest.cpp
@@ -186,14 +186,14 @@
     std::string apply(std::initializer_list<SourceRow> rows, std::uint64_t position)
     {
         translator.translated.clear();
-        mirror.apply(RowTable::Targets, std::vector(rows), position);
+        mirror.apply(RowTable::Targets, std::vector(rows), position, {});
         return translator.translated;
     }
 
     RowMirrorFixture()
     {
         const SourceRow rows[] = {{"a", "1", 5, false}, {"b", "1", 6, false}};
-        mirror.replaceAll(RowTable::Targets, rows, 10);
+        mirror.replaceAll(RowTable::Targets, rows, 10, {});
     }
 
     ManualClock clock;
@@ -240,7 +240,7 @@
 TEST_CASE_FIXTURE(RowMirrorFixture, "row mirror, table read again, deletes missing rows")
 {
     const SourceRow rows[] = {{"b", "1", 6, false}};
-    mirror.replaceAll(RowTable::Targets, rows, 20);
+    mirror.replaceAll(RowTable::Targets, rows, 20, {});
     const auto changes = mirror.changesSince(RowTable::Targets, 10);
     REQUIRE(changes);
     REQUIRE(changes->size() == 1);
--- a/Tests/Process/TableFollowerTest.cpp
+++ b/Tests/Process/TableFollowerTest.cpp
@@ -114,9 +114,13 @@
     GatewayControl control{sink, sink, clock};
     NullTranslator translator;
     RowMirror mirror{translator, control};
-    TableFollower routes{context, store, mirror, control, RowTable::Routes, 500ms, [] {}};
-    TableFollower targets{
-            context, store, mirror, control, RowTable::Targets, 500ms, [this] { routes.resume(); }};
+    StoreClock storeClock;
+    TableFollower routes{context,          store, storeClock, mirror, control,
+                         RowTable::Routes, 500ms, [] {}};
+    TableFollower targets{context,    store,
+                          storeClock, mirror,
+                          control,    RowTable::Targets,
+                          500ms,      [this] { routes.resume(); }};
 };
 
 // Guards against routes that are followed seconds late: the first call for the targets after a
