Tests: Show that a head which is cut off is no response

It does not happen here: both engines need the empty line that ends the head before they look at the framing.

--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -52,4 +52,31 @@
     CHECK(readMembers());
 }
 
+/** A store that closes its connections in the head of a response. */
+struct TruncatedStoreFixture
+{
+    ScriptedServer server{[](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        socket.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Type: appl");
+    }};
+    boost::asio::io_context io;
+    SteadyClock clock;
+    LoopContext context{io, clock};
+    Platform::StoreClient client{context, server.endpoint()};
+};
+
+// Guards against a cut response that is taken as an empty table (issue 34, report of other
+// operators).
+TEST_CASE_FIXTURE(TruncatedStoreFixture, "store client, store closes in the head, call fails")
+{
+    unsigned failures = 0;
+    const auto count = [&](const auto &result) { failures += result.has_value() ? 0 : 1; };
+    client.readRows(RowTable::Routes, {}, count);
+    client.awaitChanges(RowTable::Targets, 1, Duration::zero(), count);
+    client.readMembers(count);
+    client.writeMember(FleetMember{VmId("a"), ZoneName("z"), {"127.0.0.1", 1}, 1, {}}, count);
+    io.run_for(5s);
+    CHECK(failures == 4);
+}
+
 TEST_SUITE_END();
--- a/Tests/Process/GatewayTest.cpp
+++ b/Tests/Process/GatewayTest.cpp
@@ -56,6 +56,8 @@
     /** Sends a copy of a refused probe's response before the response to each request that follows
      * a probe on its connection. */
     void repeatRefusal() { m_repeatsRefusal = true; }
+    /** Closes each connection after the first response. */
+    void closeAfterResponse() { m_closesAfterResponse = true; }
     /** @return connections on which bytes arrived after a request without a response. */
     unsigned reusedSilentConnections() const { return m_reusedSilentConnections; }
 
@@ -99,7 +101,7 @@
                 m_reusedSilentConnections += socket.readAll().empty() ? 0 : 1;
                 return;
             }
-            if (!socket.send(*reply))
+            if (!socket.send(*reply) || m_closesAfterResponse)
                 return;
         }
     }
@@ -110,6 +112,7 @@
     std::atomic<unsigned> m_probeCount{0};
     std::atomic<unsigned> m_reportedLoad{0};
     std::atomic<bool> m_repeatsRefusal{false};
+    std::atomic<bool> m_closesAfterResponse{false};
     std::atomic<unsigned long> m_lastTimeLeft{0};
     std::atomic<unsigned> m_reusedSilentConnections{0};
     ScriptedServer m_server{[this](RawSocket &socket, unsigned) { serve(socket); }};
@@ -374,6 +377,25 @@
     CHECK(targets[0]->requestCount() == 1);
 }
 
+// Guards against a success with an empty or short body for a caller whose target closed its
+// connection in the head of the response (issue 34, report of other operators).
+TEST_CASE_FIXTURE(GatewayFixture, "gateway, target closes in the head, does not report a success")
+{
+    addTarget("cut", [](const std::string &id) {
+        const auto response = ScriptedTarget::response("200 OK", id, {}, {});
+        return response.substr(0, response.size() - 2);
+    });
+    targets.back()->closeAfterResponse();
+    publish();
+    for (const auto *path : {"/read/x", "/write/x"}) {
+        CAPTURE(path);
+        const auto response = call(path);
+        CHECK((response.empty() || response.starts_with("HTTP/1.1 502")
+               || response.starts_with("HTTP/1.1 504")));
+    }
+    CHECK(targets[0]->requestCount() >= 2);
+}
+
 // Guards against a request that is broken off at a working target and answered 504 before the
 // route's timeout, although no other target can run it.
 TEST_CASE_FIXTURE(SlowTargetFixture,
--- a/Tests/Process/PlatformClientTest.cpp
+++ b/Tests/Process/PlatformClientTest.cpp
@@ -29,4 +29,21 @@
     CHECK(server.connectionCount() == 2);
 }
 
+// Guards against a cut response that is taken as an empty value (issue 34, report of other
+// operators).
+TEST_CASE("platform client, with a store that closes in the head, has no response")
+{
+    ScriptedServer server([](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        socket.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nETag: 1");
+    });
+    const SteadyClock clock;
+    ControlTraffic traffic;
+    PlatformClient client(server.endpoint(), 5s, clock, traffic);
+    for (const std::string_view method : {"GET", "PUT"}) {
+        const PlatformRequest request{method, "/tables/a/b", {}, {}};
+        CHECK_FALSE(std::holds_alternative<CompleteResponse>(client.call(request)));
+    }
+}
+
 TEST_SUITE_END();
