Process, platform: Bound the age of a VM's tables from the store on

Cause: each wait on the way was below the bound of 2 s, their sum was not: a relay counted as up to date for 1.4 s after its last response for targets, whatever the age of its routes, noticed the age up to 250 ms late, held a query up to 1 s while it began to follow the store, and its client relied on the last response for 1.6 s, checked every 1.5 s, however old its content was. And a reader had the store as its only source.

Change: limits apply to the age from the store on and so are nested (FreshnessBounds): polls of both tables return together each half of the bound, a relay refuses queries at 0.6 of it, a VM asks the store itself at 0.7 of it; timers run at these moments. A relay responds when its tables are more recent than the client's by a tenth of the bound. A reader that has lost the store queries other readers. A failed call takes 0.8 s at most and is repeated after recovery_bound less 1.1 s, so that both together are below it.

Looked at on related paths: retry delay of standalone VMs, time to connect to the store, polls in flight when a VM becomes a relay; the read of the relay list (2 s) is below recovery_bound and unchanged.

--- a/Source/Process/Loop/PlatformSession.cpp
+++ b/Source/Process/Loop/PlatformSession.cpp
@@ -21,16 +21,8 @@
  * was noticed.
  */
 constexpr Duration recoveryReserve = 300ms;
-/**
- * Long-poll wait of a relaying VM for changes of targets, as a fraction of the bound on change
- * propagation. Frequent responses show that it still reaches the store.
- */
-constexpr double readerPollShare = 0.5;
-/**
- * Maximum age of the last response with changes of targets for which a VM may relay to others, as a
- * fraction of the bound. The rest of the bound is needed to notice the age and to query another VM.
- */
-constexpr double maxResponseAgeShare = 0.7;
+/** Margin of a check for the expiry of an age limit. */
+constexpr Duration afterExpiry = 1ms;
 /** Time allowed for the first store responses before a VM reports the store as unreachable. */
 constexpr Duration startupTimeout = 1s;
 /** Interval between checks of the relay links and table followers. */
@@ -43,8 +35,6 @@
  * outage.
  */
 constexpr unsigned standaloneBackoffFactor = 20;
-/** Time until a call fails if the store cannot be reached. */
-constexpr Duration unreachableTimeout = 1s;
 /** Fraction of the bound on change propagation that is spent batching changes at the store. */
 constexpr double batchShare = 0.25;
 
@@ -65,12 +55,14 @@
     , m_events(events)
     , m_self{settings.vm, settings.zone, settings.relayEndpoint, settings.cores, std::nullopt}
     , m_maxChangeDelay(settings.maxChangeDelay)
+    , m_freshnessBounds(FreshnessBounds::of(settings.maxChangeDelay))
     , m_maxRecoveryDelay(settings.maxRecoveryDelay)
     , m_mirror(translator, feed)
     , m_followers{makeFollower(store, RowTable::Routes, settings.maxChangeDelay),
                   makeFollower(store, RowTable::Targets, settings.maxChangeDelay)}
-    , m_server(context, m_mirror, *this)
+    , m_server(context, m_mirror, *this, m_freshnessBounds.minRecencyGain)
     , m_plan(m_self)
+    , m_storeFollowRule(m_freshnessBounds.maxAge)
     , m_fleetTimer(context.io)
     , m_superviseTimer(context.io)
     , m_isFirstStart(settings.isFirstStart)
@@ -105,7 +97,8 @@
             [this, table] {
                 if (table == RowTable::Targets)
                     m_followers.front().resume();
-                notifyOnStateChange();
+                m_wasUpToDate = isUpToDate();
+                m_server.respondToPending();
             }};
 }
 
@@ -122,18 +115,19 @@
 
 void PlatformSession::follow(bool isReader)
 {
-    // The store may lose the response to one call only, so the wait of each is bounded.
-    const auto pollWait = m_maxRecoveryDelay - PlatformStore::responseTimeout - recoveryReserve;
+    // The store may lose the response to one call only, so the wait of each is bounded. The same
+    // holds for the delay after a failed call.
+    const auto recoveryWait = m_maxRecoveryDelay - PlatformStore::responseTimeout - recoveryReserve;
+    const auto interval = isReader ? std::min(recoveryWait, m_freshnessBounds.pollInterval)
+                                   : recoveryWait;
     for (auto &it : m_followers)
-        it.setPollWait(pollWait);
-    // Frequent calls for one table are enough to show that the store is reachable.
-    if (isReader)
-        m_followers.back().setPollWait(
-                std::min(pollWait, duration_cast<Duration>(m_maxChangeDelay * readerPollShare)));
+        it.setPollSchedule({interval, duration_cast<Duration>(interval * m_pollPhase)});
     m_followers.back().setRetryBackoff(
-            isReader ? RetryBackoff()
-                     : RetryBackoff{m_maxRecoveryDelay - unreachableTimeout,
-                                    standaloneBackoffFactor});
+            isReader ? RetryBackoff() : RetryBackoff{recoveryWait, standaloneBackoffFactor});
+    // A poll in flight would return too late for the clients.
+    const bool wasPollingClosely = std::exchange(m_isPollingClosely, isReader);
+    if (isReader && !wasPollingClosely && confirmedUntil() && !isStoreFailing())
+        stopFollowing();
     if (!isFollowing())
         m_followingSince = m_context.clock.now();
     for (auto &it : m_followers) {
@@ -158,10 +152,9 @@
 {
     if (isUpToDate())
         return RelayState::UpToDate;
-    const bool isFailing = std::any_of(m_followers.begin(), m_followers.end(),
-                                       [](const auto &it) { return it.isFailing(); });
     const bool isNew = m_context.clock.now() - m_followingSince < startupTimeout;
-    return isFollowing() && isNew && !isFailing ? RelayState::Starting : RelayState::Unavailable;
+    return isFollowing() && isNew && !isStoreFailing() ? RelayState::Starting
+                                                       : RelayState::Unavailable;
 }
 
 TimePoint PlatformSession::completeUntil(RowTable table) const
@@ -169,6 +162,12 @@
     return m_mirror.origin(table).completeUntil;
 }
 
+bool PlatformSession::isStoreFailing() const
+{
+    return std::any_of(m_followers.begin(), m_followers.end(),
+                       [](const auto &it) { return it.isFailing(); });
+}
+
 void PlatformSession::queryReceived(const VmId &vm)
 {
     m_clients.recordQuery(vm, m_context.clock.now());
@@ -188,21 +187,35 @@
         m_server.respondToPending();
 }
 
+std::optional<TimePoint> PlatformSession::confirmedUntil() const
+{
+    auto earliest = TimePoint::max();
+    for (const auto &it : m_followers) {
+        if (!it.isRunning() || !it.completeUntil())
+            return std::nullopt;
+        earliest = std::min(earliest, *it.completeUntil());
+    }
+    return earliest;
+}
+
 bool PlatformSession::isUpToDate() const
 {
-    const auto now = m_context.clock.now();
-    return std::all_of(m_followers.begin(), m_followers.end(),
-                       [](const auto &it) { return it.isRunning() && it.lastResponseAt(); })
-           && !m_followers.front().isFailing()
-           && now - *m_followers.back().lastResponseAt()
-                      <= duration_cast<Duration>(m_maxChangeDelay * maxResponseAgeShare);
+    const auto until = confirmedUntil();
+    return until && m_context.clock.now() - *until <= m_freshnessBounds.maxRelayedAge;
+}
+
+bool PlatformSession::hasLostStore() const
+{
+    const auto timeFollowing = m_context.clock.now() - m_followingSince;
+    return isFollowing() && !isUpToDate()
+           && (isStoreFailing() || timeFollowing > m_freshnessBounds.maxRelayedAge);
 }
 
 void PlatformSession::recordLinkResponses()
 {
     for (const auto &it : m_links) {
-        if (it->lastResponseAt())
-            m_storeFollowRule.recordUpdate(*it->lastResponseAt());
+        if (it->completeUntil())
+            m_storeFollowRule.recordUpdate(*it->completeUntil());
         else if (it->isAwaitingFirstResponse())
             m_storeFollowRule.recordPendingQuery();
     }
@@ -242,9 +255,7 @@
 
 void PlatformSession::refreshFleet()
 {
-    const bool isStoreFailing = std::any_of(m_followers.begin(), m_followers.end(),
-                                            [](const auto &it) { return it.isFailing(); });
-    if (isFollowing() && !isStoreFailing)
+    if (isFollowing() && !isStoreFailing())
         readFleet();
     else
         scheduleFleetCall(fleetReadInterval, &PlatformSession::refreshFleet);
@@ -327,9 +338,11 @@
 void PlatformSession::supervise()
 {
     const auto now = m_context.clock.now();
-    const auto role = m_plan.role(now);
+    auto role = m_plan.role(now);
     if (role.isReader)
         m_clients.beginCounting(now);
+    if (role.isReader && hasLostStore())
+        role.sources = m_plan.otherReaders(now);
     publishClients();
     // Must precede updateLinks(): the response times of links that get replaced still count, so
     // that a switch to another source does not look like a loss of updates.
@@ -357,9 +370,12 @@
 Duration PlatformSession::superviseDelay(TimePoint now) const
 {
     const bool isRelayed = !isFollowing() && !m_links.empty()
-                           && m_links.front()->lastResponseAt().has_value();
-    return m_storeFollowRule.timeToNextDecision(
+                           && m_links.front()->completeUntil().has_value();
+    auto delay = m_storeFollowRule.timeToNextDecision(
             isRelayed ? relayedSuperviseInterval : superviseInterval, now);
+    if (const auto until = confirmedUntil(); until && isUpToDate())
+        delay = std::min(delay, *until + m_freshnessBounds.maxRelayedAge + afterExpiry - now);
+    return delay;
 }
 
 void PlatformSession::updateLinks(const RelayRole &role)
@@ -395,6 +411,8 @@
 void PlatformSession::logRole(const RelayRole &role)
 {
     std::string text = role.isReader ? "reader" : role.sources.empty() ? "alone" : "fed-by";
+    if (role.isReader && !role.sources.empty())
+        text += " fed-by";
     for (const auto &it : role.sources)
         text += ' ' + it.vm.string();
     if (text == m_loggedRole)
--- a/Source/Process/Loop/PlatformSession.h
+++ b/Source/Process/Loop/PlatformSession.h
@@ -42,8 +42,15 @@
 
 private:
     TableFollower makeFollower(PlatformStore &store, RowTable table, Duration maxChangeDelay);
+    /** @return the time until which all tables are complete by responses of the store to this VM.
+     */
+    std::optional<TimePoint> confirmedUntil() const;
+    /** @return whether the tables are recent enough to relay them. */
     bool isUpToDate() const;
     bool isFollowing() const;
+    bool isStoreFailing() const;
+    /** @return whether this VM follows the store and gets no responses in time. */
+    bool hasLostStore() const;
     /** Logs when the tables, whatever their source, become too old or recent again. */
     void logFreshness(TimePoint now);
     void recordLinkResponses();
@@ -74,6 +81,7 @@
     EventSink &m_events;
     const FleetMember m_self;
     const Duration m_maxChangeDelay;
+    const FreshnessBounds m_freshnessBounds;
     const Duration m_maxRecoveryDelay;
     RowMirror m_mirror;
     StoreClock m_storeClock;
@@ -91,6 +99,10 @@
     LoopTimer m_fleetTimer;
     LoopTimer m_superviseTimer;
     RandomSource m_random = RandomSource::fromSystem();
+    /** Phase of the poll schedule, as a fraction of its interval. */
+    const double m_pollPhase = m_random.unit();
+    /** Whether the polls return at the interval of a relaying VM. */
+    bool m_isPollingClosely = false;
     /** Whether the whole fleet starts, so that the fleet list is still empty. */
     const bool m_isFirstStart;
     bool m_isFleetKnown = false;
--- a/Source/Process/Loop/RelayCodec.h
+++ b/Source/Process/Loop/RelayCodec.h
@@ -22,6 +22,11 @@
     std::uint64_t fleetPosition = 0;
     /** Respond at once, even if there are no changes. */
     bool isImmediate = false;
+    /**
+     * Age of the VM's tables by what other VMs relayed. Sent in a header field, since older program
+     * versions refuse a request target with unknown parameters.
+     */
+    std::optional<Duration> knownAge = std::nullopt;
 
     friend bool operator==(const RelayQuery &, const RelayQuery &) = default;
 };
@@ -52,6 +57,9 @@
 /** Header field of a response with its RelayTimes. */
 constexpr std::string_view relayTimesHeader = "Sapphireladder-Complete-Until-Ms";
 
+/** Header field of a query with RelayQuery::knownAge. */
+constexpr std::string_view knownAgeHeader = "Sapphireladder-Known-Age-Ms";
+
 /** Path of the relay endpoint. */
 constexpr std::string_view relayPath = "/relay/changes";
 
--- a/Source/Process/Loop/RelayLink.cpp
+++ b/Source/Process/Loop/RelayLink.cpp
@@ -10,9 +10,9 @@
 
 /**
  * Response timeout. The server holds a response for up to 1 s, and transit takes a few
- * milliseconds.
+ * milliseconds. The rest of FreshnessBounds::maxAge is for a query to another VM.
  */
-constexpr Duration queryTimeout = 1500ms;
+constexpr Duration queryTimeout = 1250ms;
 constexpr Duration connectTimeout = 400ms;
 constexpr Duration tcpUserTimeout = 3s;
 /** Maximum size of a response body. The records of 2,400 targets take about 500 KB. */
@@ -72,11 +72,17 @@
     for (const auto table : rowTables)
         query.positions[static_cast<std::size_t>(table)] = m_mirror.position(table);
     // The first response shows whether the other VM follows the store, so it is requested at once.
-    query.isImmediate = !m_lastResponseAt;
+    query.isImmediate = !m_completeUntil;
     m_queriedAt = m_context.clock.now();
     UpstreamRequest request;
     request.bytes = "GET " + encodeRelayTarget(query)
-                    + " HTTP/1.1\r\nHost: " + m_member.relayEndpoint.toString() + "\r\n\r\n";
+                    + " HTTP/1.1\r\nHost: " + m_member.relayEndpoint.toString() + "\r\n";
+    if (m_completeUntil)
+        request.bytes.append(knownAgeHeader)
+                .append(": ")
+                .append(std::to_string(toMilliseconds(m_queriedAt - *m_completeUntil)))
+                .append("\r\n");
+    request.bytes += "\r\n";
     request.maxResponseBodyBytes = maxResponseBytes;
     m_connection->exchange(std::move(request), queryTimeout,
                            [weak = weak_from_this()](const AttemptResult &result) {
@@ -99,7 +105,6 @@
         m_observer.linkFailed(m_member);
         return;
     }
-    m_lastResponseAt = m_context.clock.now();
     applyChanges(changes.value(),
                  relayTimesOf(answered->response, m_context.clock.now() - m_queriedAt));
     const auto &fleet = changes.value().fleet;
@@ -115,16 +120,19 @@
 void RelayLink::applyChanges(const RelayChanges &changes, const RelayTimes &times)
 {
     const auto now = m_context.clock.now();
+    auto completeUntil = now;
     for (const auto table : rowTables) {
         const auto i = static_cast<std::size_t>(table);
         // The query was received after it was sent, so that this errs on the early side.
         const TableOrigin origin{m_member.vm, std::min(now, m_queriedAt + times[i])};
+        completeUntil = std::min(completeUntil, origin.completeUntil);
         const auto &received = changes.tables[i];
         if (received.isFullTable)
             m_mirror.replaceAll(table, received.rows, received.position, origin);
         else
             m_mirror.apply(table, received.rows, received.position, origin);
     }
+    m_completeUntil = completeUntil;
 }
 
 } // namespace Sapphireladder
--- a/Source/Process/Loop/RelayLink.h
+++ b/Source/Process/Loop/RelayLink.h
@@ -42,12 +42,15 @@
     void start();
     void stop();
     const FleetMember &member() const { return m_member; }
-    /** @return when the other VM last sent a valid response, or nothing. */
-    std::optional<TimePoint> lastResponseAt() const { return m_lastResponseAt; }
+    /**
+     * @return the time until which the responses have all changes that the store confirmed, or
+     * nothing before the first response.
+     */
+    std::optional<TimePoint> completeUntil() const { return m_completeUntil; }
     /** @return whether the other VM accepted the connection and has not responded yet. */
     bool isAwaitingFirstResponse() const
     {
-        return m_connection && !m_connection->isConnecting() && !m_lastResponseAt;
+        return m_connection && !m_connection->isConnecting() && !m_completeUntil;
     }
 
 private:
@@ -62,7 +65,7 @@
     RelayLinkObserver &m_observer;
     std::shared_ptr<UpstreamConnection> m_connection;
     TimePoint m_queriedAt{};
-    std::optional<TimePoint> m_lastResponseAt;
+    std::optional<TimePoint> m_completeUntil;
     bool m_isStopped = false;
 };
 
--- a/Source/Process/Loop/RelayServer.cpp
+++ b/Source/Process/Loop/RelayServer.cpp
@@ -11,6 +11,20 @@
 /** Responses kept encoded. VMs that lag behind send queries with different positions. */
 constexpr std::size_t maxCachedResponses = 16;
 
+std::optional<Duration> findKnownAge(std::span<const HeaderField> headers)
+{
+    const auto it = std::find_if(headers.begin(), headers.end(), [](const auto &field) {
+        return equalsIgnoringCase(field.name, knownAgeHeader);
+    });
+    if (it == headers.end())
+        return std::nullopt;
+    constexpr std::uint64_t maxAgeMs = 1'000'000'000;
+    const auto ms = parseUnsigned(it->value);
+    if (!ms || ms.value() > maxAgeMs)
+        return std::nullopt;
+    return std::chrono::milliseconds(ms.value());
+}
+
 } // namespace
 
 class RelayServer::PendingQuery final
@@ -63,10 +77,12 @@
     LoopTimer m_timer;
 };
 
-RelayServer::RelayServer(LoopContext &context, const RowMirror &mirror, RelayHost &host)
+RelayServer::RelayServer(LoopContext &context, const RowMirror &mirror, RelayHost &host,
+                         Duration minRecencyGain)
     : m_context(context)
     , m_mirror(mirror)
     , m_host(host)
+    , m_minRecencyGain(minRecencyGain)
     , m_listener(context, [this](TcpSocket socket) {
         auto session = std::make_shared<CallerSession>(m_context, std::move(socket), *this, *this);
         m_sessions.insert(session);
@@ -78,11 +94,12 @@
 
 std::shared_ptr<PendingRequestHandle> RelayServer::handle(CallerRequest request, ReplyHandler reply)
 {
-    const auto query = decodeRelayTarget(request.requestTarget);
+    auto query = decodeRelayTarget(request.requestTarget);
     if (!query) {
         reply({Refusal{RefusalReason::UnknownService}, {}});
         return nullptr;
     }
+    query->knownAge = findKnownAge(request.headers);
     m_host.queryReceived(query->vm);
     auto pending = std::make_shared<PendingQuery>(*this, *query, std::move(reply));
     m_pendingQueries.push_back(pending);
@@ -91,6 +108,16 @@
     return pending;
 }
 
+bool RelayServer::isMoreRecent(const RelayQuery &query, TimePoint receivedAt) const
+{
+    if (!query.knownAge)
+        return false;
+    const auto knownUntil = receivedAt - *query.knownAge;
+    return std::all_of(rowTables.begin(), rowTables.end(), [&](auto table) {
+        return m_host.completeUntil(table) - knownUntil >= m_minRecencyGain;
+    });
+}
+
 RequestOutcome RelayServer::makeResponse(std::string body, TimePoint receivedAt) const
 {
     RelayTimes times;
@@ -112,7 +139,7 @@
     const auto changes = changesFor(query);
     if (changes)
         return makeResponse(*changes, receivedAt);
-    if (!isTimedOut && !query.isImmediate)
+    if (!isTimedOut && !query.isImmediate && !isMoreRecent(query, receivedAt))
         return std::nullopt;
     RelayChanges nothing;
     nothing.fleetSize = m_host.fleetSize();
--- a/Source/Process/Loop/RelayServer.h
+++ b/Source/Process/Loop/RelayServer.h
@@ -44,12 +44,20 @@
     , public SessionRegistry
 {
 public:
-    /** The references must outlive the server. */
-    RelayServer(LoopContext &context, const RowMirror &mirror, RelayHost &host);
+    /**
+     * The references must outlive the server.
+     * @param minRecencyGain how much more recent this VM's tables must be than those of another VM
+     * for a response without changes
+     */
+    RelayServer(LoopContext &context, const RowMirror &mirror, RelayHost &host,
+                Duration minRecencyGain);
     ~RelayServer() override;
 
     Result<> listen(const Endpoint &endpoint) { return m_listener.listen(endpoint); }
-    /** Responds to the pending queries that can be answered; called on row and state changes. */
+    /**
+     * Responds to the pending queries that can be answered; called on changes of rows and state,
+     * and when the store has confirmed that there are none.
+     */
     void respondToPending();
     void close();
 
@@ -66,6 +74,8 @@
 
     std::optional<RequestOutcome> outcomeFor(const RelayQuery &query, TimePoint receivedAt,
                                              bool isTimedOut);
+    /** @return whether this VM's tables are more recent than those of the VM with the query. */
+    bool isMoreRecent(const RelayQuery &query, TimePoint receivedAt) const;
     /** @return a response that states how recent it is. */
     RequestOutcome makeResponse(std::string body, TimePoint receivedAt) const;
     /** @return the encoded changes since the query's positions; nothing if there are none. */
@@ -75,6 +85,7 @@
     LoopContext &m_context;
     const RowMirror &m_mirror;
     RelayHost &m_host;
+    const Duration m_minRecencyGain;
     RequestLimits m_limits;
     bool m_isStopping = false;
     /** What a response depends on: positions of the query, and those of this VM. */
--- a/Source/Process/Loop/TableFollower.cpp
+++ b/Source/Process/Loop/TableFollower.cpp
@@ -8,11 +8,6 @@
 
 using namespace std::chrono_literals;
 
-/**
- * Default long-poll wait. A shorter wait costs more store calls, which are charged; a longer one
- * delays the detection of a lost response.
- */
-constexpr Duration defaultPollWait = 2s;
 /** Part of a retry delay that is randomized, so that VMs that failed together do not retry at the
  * same time. Only shortens the delay, whose maximum bounds the time until a VM has recovered. */
 constexpr double retryJitter = 0.25;
@@ -33,13 +28,13 @@
     , m_batchDelay(batchDelay)
     , m_responseHandler(std::move(responseHandler))
     , m_timer(context.io)
-    , m_pollWait(defaultPollWait)
 {}
 
 void TableFollower::start()
 {
     m_isRunning = true;
-    m_lastResponseAt.reset();
+    m_completeUntil.reset();
+    m_nextResponseDue.reset();
     m_failureCount = 0;
     if (!m_isCallPending)
         callNext();
@@ -118,7 +113,8 @@
     }
     m_failureCount = 0;
     m_isHistoryGone = false;
-    m_lastResponseAt = m_context.clock.now();
+    m_completeUntil = m_firstPageOrigin.completeUntil;
+    m_nextResponseDue = m_schedule.next(m_context.clock.now());
     const auto all = std::exchange(m_rowsRead, {});
     m_mirror.replaceAll(m_table, all, m_firstPagePosition, m_firstPageOrigin);
     m_responseHandler();
@@ -127,16 +123,12 @@
 
 void TableFollower::awaitChanges()
 {
-    // The first call does not wait, so that the VM learns whether it can reach the store. The
-    // batching delay counts towards the wait, so that the responses to a relaying VM are never
-    // further apart than its wait.
-    const auto timeSinceResponse = m_lastResponseAt ? m_context.clock.now() - *m_lastResponseAt
-                                                    : m_pollWait;
-    // A call after a failure does not wait either, since this VM counts as failing until then.
-    const auto wait = isFailing() ? Duration::zero()
-                                  : std::max(Duration::zero(), m_pollWait - timeSinceResponse);
-    m_wait = std::chrono::floor<std::chrono::milliseconds>(wait);
-    m_store.awaitChanges(m_table, m_mirror.position(m_table), wait,
+    // The first call does not wait, so that the VM learns whether it can reach the store. A call
+    // after a failure does not wait either, since this VM counts as failing until then.
+    if (m_nextResponseDue && !isFailing())
+        m_wait = std::max<Duration>(Duration::zero(), std::chrono::floor<std::chrono::milliseconds>(
+                                                              *m_nextResponseDue - m_calledAt));
+    m_store.awaitChanges(m_table, m_mirror.position(m_table), m_wait,
                          makeHandler(&TableFollower::handleChanges));
 }
 
@@ -159,14 +151,16 @@
         return;
     }
     m_failureCount = 0;
-    m_lastResponseAt = m_context.clock.now();
-    m_mirror.apply(m_table, changes.value().rows, changes.value().position,
-                   originOf(changes.value()));
+    const auto origin = originOf(changes.value());
+    m_completeUntil = origin.completeUntil;
+    const auto now = m_context.clock.now();
+    m_nextResponseDue = m_schedule.next(now);
+    m_mirror.apply(m_table, changes.value().rows, changes.value().position, origin);
     m_responseHandler();
     if (changes.value().rows.empty())
         callNext();
     else
-        scheduleCall(m_batchDelay);
+        scheduleCall(std::min(m_batchDelay, *m_nextResponseDue - now));
 }
 
 void TableFollower::handleFailure(const Error &error)
--- a/Source/Process/Loop/TableFollower.h
+++ b/Source/Process/Loop/TableFollower.h
@@ -46,8 +46,8 @@
     bool isRunning() const { return m_isRunning; }
     /** @return whether the last call failed. */
     bool isFailing() const { return m_failureCount > 0; }
-    /** @param wait maximum time that the store may wait for a change before it responds */
-    void setPollWait(Duration wait) { m_pollWait = wait; }
+    /** Takes effect with the next call. */
+    void setPollSchedule(const PollSchedule &schedule) { m_schedule = schedule; }
     /**
      * @param backoff used while following changes. While the whole table has to be read, the
      * default backoff applies, since a VM cannot serve requests before its first read.
@@ -60,8 +60,11 @@
     void yieldTo(const TableFollower &other) { m_otherFollower = &other; }
     /** Called when the other follower got a response: calls at once if this one had yielded. */
     void resume();
-    /** @return when the store last responded since start(), or nothing. */
-    std::optional<TimePoint> lastResponseAt() const { return m_lastResponseAt; }
+    /**
+     * @return the time until which the responses since start() have all changes that the store
+     * confirmed, or nothing before the first response.
+     */
+    std::optional<TimePoint> completeUntil() const { return m_completeUntil; }
 
 private:
     bool needsFullRead() const { return m_isHistoryGone || !m_mirror.isKnown(m_table); }
@@ -89,7 +92,7 @@
     ResponseHandler m_responseHandler;
     LoopTimer m_timer;
     RandomSource m_random = RandomSource::fromSystem();
-    Duration m_pollWait;
+    PollSchedule m_schedule;
     RetryBackoff m_retryBackoff;
     const TableFollower *m_otherFollower = nullptr;
     bool m_isRunning = false;
@@ -110,7 +113,9 @@
     TimePoint m_calledAt{};
     /** How long the store may hold the response to the last call. */
     Duration m_wait{};
-    std::optional<TimePoint> m_lastResponseAt;
+    /** When the next response is due, even if there are no changes. */
+    std::optional<TimePoint> m_nextResponseDue;
+    std::optional<TimePoint> m_completeUntil;
     unsigned m_failureCount = 0;
 };
 
--- a/Source/Process/RelayPlan.cpp
+++ b/Source/Process/RelayPlan.cpp
@@ -94,6 +94,17 @@
     return {false, std::move(chosen)};
 }
 
+std::vector<FleetMember> RelayPlan::otherReaders(TimePoint now) const
+{
+    if (failingVms(now).size() >= maxFailingVms)
+        return {};
+    auto others = readers(now);
+    std::erase_if(others, [this](const auto &it) { return it.vm == m_self.vm; });
+    sortByPreference(others);
+    others.resize(std::min(others.size(), maxSources));
+    return others;
+}
+
 void RelayPlan::sortByPreference(std::vector<FleetMember> &readers) const
 {
     const auto remote = std::stable_partition(
--- a/Source/Process/RelayPlan.h
+++ b/Source/Process/RelayPlan.h
@@ -59,6 +59,8 @@
     std::vector<VmId> failingVms(TimePoint now) const;
     /** @return the current role of this VM. */
     RelayRole role(TimePoint now) const;
+    /** @return other readers, for a reader that has lost the store. */
+    std::vector<FleetMember> otherReaders(TimePoint now) const;
 
 private:
     std::vector<FleetMember> readers(TimePoint now) const;
--- a/Source/Process/StoreFollowRule.cpp
+++ b/Source/Process/StoreFollowRule.cpp
@@ -33,8 +33,12 @@
 
 Duration StoreFollowRule::timeToNextDecision(Duration usualInterval, TimePoint now) const
 {
-    return now < m_firstUpdateDeadline ? std::min(usualInterval, m_firstUpdateDeadline - now)
-                                       : usualInterval;
+    if (now < m_firstUpdateDeadline)
+        return std::min(usualInterval, m_firstUpdateDeadline - now);
+    if (!hasRecentUpdate(now))
+        return usualInterval;
+    constexpr Duration afterExpiry = std::chrono::milliseconds(1);
+    return std::min(usualInterval, *m_completeUntil + m_maxUpdateAge + afterExpiry - now);
 }
 
 } // namespace Sapphireladder
--- a/Source/Process/StoreFollowRule.h
+++ b/Source/Process/StoreFollowRule.h
@@ -37,15 +37,18 @@
     /** Used instead if all VMs start at once: others may read the fleet list up to 1 s later. */
     static constexpr Duration fleetStartTimeout = std::chrono::seconds(2);
     /** How long a VM follows the store after a request. Other VMs send one about every second. */
-    static constexpr Duration requestRetention = std::chrono::milliseconds(2500);
-    /** Maximum age of the last relayed update while the VM relies on it. One arrives per second. */
-    static constexpr Duration maxUpdateAge = std::chrono::milliseconds(1600);
+    static constexpr Duration requestRetention = std::chrono::milliseconds(1300);
     /** Duration of relayed updates without a gap after which the VM stops following the store. */
     static constexpr Duration settleTime = std::chrono::seconds(2);
     /** Bounds of the exponential backoff before another VM is tried after a failure. */
     static constexpr Duration minLinkBackoff = std::chrono::milliseconds(20);
     static constexpr Duration maxLinkBackoff = std::chrono::milliseconds(250);
 
+    /** @param maxUpdateAge maximum age of what other VMs relayed while the VM relies on it */
+    explicit StoreFollowRule(Duration maxUpdateAge)
+        : m_maxUpdateAge(maxUpdateAge)
+    {}
+
     /** The fleet list was read for the first time. @param isFirstStart all VMs start at once */
     void start(bool isFirstStart, TimePoint now);
     /** Another VM requested changes from this one. */
@@ -55,26 +58,34 @@
     {
         m_firstUpdateDeadline = std::max(m_firstUpdateDeadline, m_startedAt + pendingQueryTimeout);
     }
-    /** Another VM that follows the store sent an update. */
-    void recordUpdate(TimePoint at) { m_lastUpdateAt = std::max(m_lastUpdateAt.value_or(at), at); }
+    /**
+     * Another VM that follows the store sent an update.
+     * @param completeUntil time until which it has all changes that the store confirmed
+     */
+    void recordUpdate(TimePoint completeUntil)
+    {
+        m_completeUntil = std::max(m_completeUntil.value_or(completeUntil), completeUntil);
+    }
     /** @return backoff after a VM failed to relay changes. */
     Duration nextLinkBackoff();
 
     /** @param isReader RelayPlan assigns the VM the role of a reader */
     StoreFollowMode decide(bool isReader, TimePoint now);
-    /** @return time until the next decision: the usual interval, or the rest of the timeout. */
+    /** @return time until the next decision: the usual interval, or the rest of a timeout. */
     Duration timeToNextDecision(Duration usualInterval, TimePoint now) const;
 
 private:
     bool hasRecentUpdate(TimePoint now) const
     {
-        return m_lastUpdateAt && now - *m_lastUpdateAt <= maxUpdateAge;
+        return m_completeUntil && now - *m_completeUntil <= m_maxUpdateAge;
     }
 
+    const Duration m_maxUpdateAge;
+
     TimePoint m_startedAt{};
     TimePoint m_firstUpdateDeadline{};
     TimePoint m_requestedUntil{};
-    std::optional<TimePoint> m_lastUpdateAt;
+    std::optional<TimePoint> m_completeUntil;
     /** Since when updates have been relayed without a gap. */
     std::optional<TimePoint> m_relayedSince;
     Duration m_linkBackoff = minLinkBackoff;
--- a/Tests/Process/FleetRelayTest.cpp
+++ b/Tests/Process/FleetRelayTest.cpp
@@ -298,7 +298,7 @@
 // Each VM reads the fleet list. Relays write their entry and read the list again. How many VMs list
 // themselves depends on how far their reads are apart, so the bound is that of the fleet.
 constexpr std::uint64_t startupCallsPerVm = 2;
-// A reader follows two tables, one of them with a call each second, the other every 1.9 s.
+// A reader follows two tables with a call each second, and once more after each change.
 constexpr std::uint64_t maxCallsPerReader = 20;
 constexpr std::uint64_t readerCount = 3;
 // The platform allows 16,000 reads a second for 472 VMs.
@@ -434,6 +434,48 @@
     CHECK(content.calls - callsBefore <= vmCount * recoveryCallsPerVm);
 }
 
+// Guards against VMs that act by old routes because the ages of what the relays know, of their
+// responses and of the last update add up beyond the bound (issue 34).
+TEST_CASE_FIXTURE(FleetRelayFixture,
+                  "fleet relay, all relays lose the store, other VMs have the new routes in time")
+{
+    run(5s);
+    std::vector<RelayVm *> others;
+    for (const auto &it : vms) {
+        const bool isRelay = std::any_of(
+                content.members.begin(), content.members.end(),
+                [&it](const auto &member) { return member.vm == it->settings.vm; });
+        if (isRelay)
+            it->store.setLosingResponses(true);
+        else
+            others.push_back(it.get());
+    }
+    run(300ms);
+    resetChanges();
+    content.put("routes", RowTable::Routes);
+    run(GatewaySettings().maxChangeDelay);
+    for (const auto *it : others) {
+        CAPTURE(it->settings.vm.string());
+        CHECK(it->feed.changes > 0);
+    }
+}
+
+// Guards against a reader that has no other source when it loses the store (issue 34).
+TEST_CASE_FIXTURE(
+        FleetRelayFixture,
+        "fleet relay, reader loses the store, has the new routes of other readers in time")
+{
+    run(5s);
+    auto &vm = reader();
+    vm.store.setLosingResponses(true);
+    run(300ms);
+    resetChanges();
+    content.put("routes", RowTable::Routes);
+    run(GatewaySettings().maxChangeDelay);
+    CHECK(vm.feed.changes > 0);
+    CHECK(countUpdatedVms() == vmCount);
+}
+
 // Guards against a restarted VM that reads rows from the store which other VMs can relay.
 TEST_CASE_FIXTURE(FleetRelayFixture, "fleet relay, VM restarts, gets all rows from other VMs")
 {
--- a/Tests/Process/RelayTest.cpp
+++ b/Tests/Process/RelayTest.cpp
@@ -294,6 +294,17 @@
         CHECK_FALSE(decodeRelayTarget(it));
 }
 
+TEST_CASE("relay times, any value, are decoded as encoded or rejected")
+{
+    const RelayTimes times = {-1500us, 7ms};
+    CHECK(encodeRelayTimes(times) == "-2,7");
+    CHECK(decodeRelayTimes("-2,7") == RelayTimes{-2ms, 7ms});
+    for (const auto *it : {"", "1", "x,1", "1,", "-,1", "1,9999999999"}) {
+        CAPTURE(it);
+        CHECK_FALSE(decodeRelayTimes(it));
+    }
+}
+
 // Guards against readers that send the full table of a large fleet uncompressed to every VM.
 TEST_CASE_FIXTURE(RelayCodecFixture, "relay codec, full table of 990 targets, is compressed")
 {
--- a/Tests/Process/StoreFollowRuleTest.cpp
+++ b/Tests/Process/StoreFollowRuleTest.cpp
@@ -28,8 +28,10 @@
         rule.recordUpdate(clock.now());
     }
 
+    static constexpr Duration maxUpdateAge = 1400ms;
+
     ManualClock clock;
-    StoreFollowRule rule;
+    StoreFollowRule rule{maxUpdateAge};
 };
 
 // Guards against load on the store from VMs that follow it as soon as they start.
@@ -78,7 +80,7 @@
                   "StoreFollowRule, relayed updates stop, follows the store")
 {
     relayUpdatesFor(5);
-    clock.advance(StoreFollowRule::maxUpdateAge);
+    clock.advance(maxUpdateAge);
     CHECK(decide() != StoreFollowMode::Follow);
     clock.advance(1ms);
     CHECK(decide() == StoreFollowMode::Follow);
