Version, Request, platform: Identify callers by the keys of workspaces

The new deployments' configurations hold workspaces with keys, priorities and allowances. Keys went to targets, unknown keys were served, and no target learnt the workspace. The configuration is decoded into typed workspaces, a request without a known key gets 401 unless its route is public, and the VM sets the workspace's field itself. Settings and interfaces for allowances, cold targets, hedging and memory limits follow; nothing implements them yet.

--- a/Source/Core/Encoding/CoreEncoding.h
+++ b/Source/Core/Encoding/CoreEncoding.h
@@ -4,3 +4,4 @@
 
 #include "Core/Core.h"
 #include "Core/Encoding/Base64.h"
+#include "Core/Encoding/Digest.h"
--- a/Source/Process/GatewaySettings.h
+++ b/Source/Process/GatewaySettings.h
@@ -36,6 +36,21 @@
     std::size_t maxConnections = 3000;
     /** Processor cores of this VM; a fraction if it has a share of one. */
     double cores = 1;
+    /** Allowances of workspaces hold in any window of this length. */
+    Duration allowanceWindow = std::chrono::seconds(5);
+    /** Tolerated excess over an allowance: a share of it plus a number of requests. */
+    double allowanceExcess = 0;
+    double allowanceSlack = 0;
+    /** Tolerated excess over the rate of a cold target: a factor plus a number of requests. */
+    double warmupFactor = 1;
+    double warmupSlack = 0;
+    /** Largest share of requests that may be sent to a second target to cut their latency. Zero
+     * turns hedging off. */
+    double hedgeRatio = 0;
+    /** Memory of this VM in bytes; 0 if unknown. */
+    std::size_t memoryBytes = 0;
+    /** Maximum number of open descriptors of this process; 0 if unknown. */
+    std::size_t maxDescriptors = 0;
     /** All VMs start for the first time, so the fleet list is still empty. */
     bool isFirstStart = false;
 
--- a/Source/Process/Loop/Gateway.h
+++ b/Source/Process/Loop/Gateway.h
@@ -62,6 +62,7 @@
     std::span<const std::shared_ptr<Upstream>> upstreams(const ServiceName &service) override;
     std::span<const std::shared_ptr<Upstream>>
     preferredUpstreams(const ServiceName &service) override;
+    AllowanceGate &allowances() override { return m_allowances; }
     RetryTokens &retryTokens(const ServiceName &service) override;
     WeightedServiceSelector &serviceSelector(const Route &route) override;
     Duration expectedServiceTime(const Route &route) const override;
@@ -123,6 +124,7 @@
     std::unordered_map<std::string, WeightedServiceSelector> m_serviceSelectors;
     /** Moving average of the service time, by route name. */
     std::unordered_map<std::string, Duration> m_serviceTimes;
+    UnlimitedAllowanceGate m_allowances;
     UpstreamCounters m_upstreamCounters;
     Metrics m_metrics;
     std::uint64_t m_abandonedCount = 0;
--- a/Source/Process/Yaml/GatewaySettingsReader.cpp
+++ b/Source/Process/Yaml/GatewaySettingsReader.cpp
@@ -26,6 +26,16 @@
     root.number("asks_per_target", settings.loadProbesPerTargetPerSecond, {0.0, 1e4});
     root.unsignedInteger<std::size_t>("max_connections", settings.maxConnections, {1, 100000});
     root.number("cores", settings.cores, {0.0, 1024.0});
+    root.duration("allowance_window", settings.allowanceWindow, {100ms, 10min});
+    root.number("allowance_excess", settings.allowanceExcess, {0.0, 10.0});
+    root.number("allowance_slack", settings.allowanceSlack, {0.0, 1e6});
+    root.number("warmup_factor", settings.warmupFactor, {0.0, 100.0});
+    root.number("warmup_slack", settings.warmupSlack, {0.0, 1e6});
+    root.number("hedge_ratio", settings.hedgeRatio, {0.0, 1.0});
+    std::size_t memoryMebibytes = settings.memoryBytes / mebibyte;
+    root.unsignedInteger<std::size_t>("memory_mb", memoryMebibytes, {32, 1UL << 20U});
+    settings.memoryBytes = memoryMebibytes * mebibyte;
+    root.unsignedInteger<std::size_t>("max_descriptors", settings.maxDescriptors, {64, 1UL << 24U});
     root.boolean("first_start", settings.isFirstStart);
     root.finish();
     if (!errors.list().empty())
--- a/Source/Request/HeaderCodec.h
+++ b/Source/Request/HeaderCodec.h
@@ -2,6 +2,7 @@
 
 #include "Request/AttemptResult.h"
 #include "Request/HeaderField.h"
+#include "Version/Version.h"
 
 #include <optional>
 #include <span>
@@ -17,6 +18,8 @@
     RequestId id;
     /** How long the caller waits for the response after sending the request. */
     std::optional<Duration> timeout;
+    /** Digest of the API key that the caller sent. */
+    std::optional<KeyDigest> key;
 };
 
 /** Values sent to the target in the header fields of an attempt. */
@@ -26,6 +29,8 @@
     Duration timeLeft{};
     /** Id of the only target that may run the request. */
     std::string_view target;
+    /** Name of the caller's workspace; empty if it has none. */
+    std::string_view workspace;
 };
 
 /** Values of the header fields of a target's response that are not meant for the caller. */
@@ -52,7 +57,10 @@
 public:
     virtual ~HeaderCodec() = default;
     virtual CallerMetadata callerMetadata(std::span<const HeaderField> fields) const = 0;
-    /** Sets the fields of an attempt, in place of any that the caller sent. */
+    /**
+     * Sets the fields of an attempt, in place of any that the caller sent. Removes the API key and
+     * the name of a workspace that the caller sent.
+     */
     virtual void setAttemptHeaders(std::vector<HeaderField> &fields,
                                    const AttemptMetadata &metadata) const = 0;
     virtual ResponseMetadata responseMetadata(unsigned status,
--- a/Source/Request/Http/ResponseEncoder.cpp
+++ b/Source/Request/Http/ResponseEncoder.cpp
@@ -87,6 +87,8 @@
     case RefusalReason::DepthExceeded:
     case RefusalReason::RequestTruncated:
         return 400;
+    case RefusalReason::UnknownKey:
+        return 401;
     case RefusalReason::RequestTimeout:
         return 408;
     case RefusalReason::HeaderTooLarge:
@@ -98,6 +100,8 @@
     case RefusalReason::KeyReused:
         return 422;
     case RefusalReason::QueueFull:
+    case RefusalReason::AllowanceExceeded:
+    case RefusalReason::Overloaded:
         return 429;
     case RefusalReason::DeadlineExpired:
     case RefusalReason::DeadlineUnreachable:
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -68,6 +68,10 @@
         refuse(RefusalReason::UnknownService);
         return;
     }
+    if (!identifyCaller()) {
+        refuse(RefusalReason::UnknownKey);
+        return;
+    }
     auto timeout = m_callerMetadata.timeout.value_or(defaultTimeout);
     if (m_route->timeout > Duration::zero())
         timeout = std::min(timeout, m_route->timeout);
@@ -77,7 +81,55 @@
     m_environment.retryTokens(m_service).recordFirstAttempt();
     callAfter(m_deadlineTimer, weak_from_this(), m_deadline - m_environment.context().clock.now(),
               &ProxyExchange::deadlinePassed);
-    findTarget();
+    if (!m_workspace || !m_workspace->isLimited()) {
+        findTarget();
+        return;
+    }
+    m_environment.allowances().acquire(
+            *m_workspace, [weak = weak_from_this(), &environment = m_environment, routes = m_routes,
+                           workspace = m_workspace](const AllowanceDecision &decision) {
+                if (const auto self = weak.lock())
+                    self->allowanceDecided(decision);
+                else if (decision.isGranted)
+                    environment.allowances().giveBack(*workspace);
+            });
+}
+
+bool ProxyExchange::identifyCaller()
+{
+    if (!m_routes->requiresKeys())
+        return true;
+    if (m_callerMetadata.key)
+        m_workspace = m_routes->findWorkspace(*m_callerMetadata.key);
+    return m_workspace || m_route->isPublic;
+}
+
+void ProxyExchange::allowanceDecided(const AllowanceDecision &decision)
+{
+    m_holdsAllowance = decision.isGranted;
+    // The caller may have left, or the deadline passed, before the decision.
+    if (!m_reply) {
+        returnAllowance();
+        return;
+    }
+    if (decision.isGranted) {
+        findTarget();
+        return;
+    }
+    m_allowanceRetryAfter = decision.retryAfter;
+    refuse(RefusalReason::AllowanceExceeded);
+}
+
+void ProxyExchange::returnAllowance()
+{
+    // Only what surely did not run may be counted as unused.
+    if (std::exchange(m_holdsAllowance, false) && !m_mayHaveRun)
+        m_environment.allowances().giveBack(*m_workspace);
+}
+
+RequestPriority ProxyExchange::priority() const
+{
+    return {m_workspace ? m_workspace->priority : 0, m_route->priority};
 }
 
 void ProxyExchange::findTarget()
@@ -275,7 +327,9 @@
 std::string ProxyExchange::encodeAttempt(const Upstream &upstream, Duration timeLeft) const
 {
     auto fields = m_request.headers;
-    m_environment.headerCodec().setAttemptHeaders(fields, {timeLeft, upstream.spec().id.view()});
+    m_environment.headerCodec().setAttemptHeaders(
+            fields, {timeLeft, upstream.spec().id.view(),
+                     m_workspace ? m_workspace->name : std::string_view()});
     std::string text = m_request.method + ' ' + m_request.requestTarget + " HTTP/1.1\r\n";
     for (const auto &it : fields)
         text.append(it.name).append(": ").append(it.value).append("\r\n");
@@ -446,6 +500,8 @@
     m_deadlineTimer.cancel();
     m_waitTimer.cancel();
     closeAttempts(HealthSignal::Abandoned);
+    if (m_attemptCount == 0)
+        returnAllowance();
     m_environment.recordAbandoned();
     m_environment.events().record(EventId::RequestAbandoned,
                                   {{"request", m_callerMetadata.id.string()},
@@ -492,6 +548,8 @@
     closeAttempts(HealthSignal::Abandoned);
     m_environment.recordOutcome(outcome, m_environment.context().clock.now() - m_request.arrivedAt);
     logOutcome(outcome);
+    if (std::holds_alternative<Refusal>(outcome))
+        returnAllowance();
     if (auto *response = std::get_if<Response>(&outcome)) {
         std::erase_if(response->headers,
                       [](const auto &it) { return isConnectionSpecificField(it.name); });
@@ -510,7 +568,8 @@
     if (!m_callerMetadata.id.isEmpty())
         fields.push_back(m_environment.headerCodec().requestIdField(m_callerMetadata.id));
     const auto *refusal = std::get_if<Refusal>(&outcome);
-    if (!refusal || refusal->reason == RefusalReason::UnknownService)
+    if (!refusal || refusal->reason == RefusalReason::UnknownService
+        || refusal->reason == RefusalReason::UnknownKey)
         return fields;
     // Randomized, so that callers that were refused together do not retry at the same time.
     const double jitter = 0.5 + m_environment.random().unit();
@@ -522,6 +581,12 @@
                  std::to_string(toSeconds(pause) + toSeconds(spread) * retryAfterSpread * jitter)});
         return fields;
     }
+    if (m_allowanceRetryAfter) {
+        const auto spread = toSeconds(*m_allowanceRetryAfter) * retryAfterSpread * jitter;
+        fields.push_back(
+                {"Retry-After", std::to_string(toSeconds(*m_allowanceRetryAfter) + spread)});
+        return fields;
+    }
     const auto objective = m_route ? toSeconds(m_route->latencyObjective)
                                    : toSeconds(maxRetryAfter);
     const double seconds = std::clamp(objective * retryAfterObjectiveShare * jitter,
@@ -565,6 +630,7 @@
                                    {response ? "status" : "why", detail},
                                    {"route", m_route ? m_route->name : "none"},
                                    {"version", std::to_string(m_routes ? m_routes->version() : 0)},
+                                   {"workspace", m_workspace ? m_workspace->name : "none"},
                                    {"target", m_lastTarget.string()},
                                    {"attempts", std::to_string(m_attemptCount)},
                                    {"ms", formatMilliseconds(latency)}});
--- a/Source/Request/Loop/ProxyExchange.h
+++ b/Source/Request/Loop/ProxyExchange.h
@@ -38,6 +38,12 @@
         bool isStalled = false;
     };
 
+    /** Sets the caller's workspace. @return whether the route accepts the caller's key. */
+    bool identifyCaller();
+    void allowanceDecided(const AllowanceDecision &decision);
+    /** Returns the allowance that was granted, if no target can have run the request. */
+    void returnAllowance();
+    RequestPriority priority() const;
     void findTarget();
     /**
      * Restarts the search with all targets of the service if it considers the subset only.
@@ -89,6 +95,12 @@
     /** Keeps the route alive. */
     std::shared_ptr<const RouteTable> m_routes;
     const Route *m_route = nullptr;
+    /** The caller's workspace; null if it has none. Kept alive by the routes. */
+    const Workspace *m_workspace = nullptr;
+    /** A request of the workspace's allowance was granted, and not returned. */
+    bool m_holdsAllowance = false;
+    /** When the allowance has room again, if it was exceeded. */
+    std::optional<Duration> m_allowanceRetryAfter;
     ServiceName m_service;
     TimePoint m_deadline{};
     LoopTimer m_deadlineTimer;
--- a/Source/Request/Loop/TrafficEnvironment.h
+++ b/Source/Request/Loop/TrafficEnvironment.h
@@ -31,6 +31,8 @@
     /** @return the targets of a service that this VM uses; see selectSubset(). */
     virtual std::span<const std::shared_ptr<Upstream>>
     preferredUpstreams(const ServiceName &service) = 0;
+    /** @return what grants requests within the allowances of workspaces. */
+    virtual AllowanceGate &allowances() = 0;
     /** @return the retry budget of a service. */
     virtual RetryTokens &retryTokens(const ServiceName &service) = 0;
     virtual WeightedServiceSelector &serviceSelector(const Route &route) = 0;
--- a/Source/Request/Reasons.cpp
+++ b/Source/Request/Reasons.cpp
@@ -34,6 +34,10 @@
         "request-timeout",
         "time-too-short",
         "targets-paused",
+        "unknown-key",
+        "allowance-exceeded",
+        "memory-limit",
+        "overloaded",
 };
 
 constexpr NameTable<UnknownReason> unknownNames = {
--- a/Source/Request/Reasons.h
+++ b/Source/Request/Reasons.h
@@ -42,6 +42,14 @@
     TimeTooShort,
     /** All usable targets asked this VM to send nothing for a while. */
     TargetsPaused,
+    /** The API key belongs to no workspace. */
+    UnknownKey,
+    /** The workspace has used up its allowance. */
+    AllowanceExceeded,
+    /** The messages of all connections together take up too much memory. */
+    MemoryLimit,
+    /** The expected load of more urgent requests leaves no room. */
+    Overloaded,
     Count,
 };
 
--- a/Source/Request/Request.h
+++ b/Source/Request/Request.h
@@ -3,6 +3,7 @@
 /** @file Public header of what lives for one request: description, attempts and decisions. */
 
 #include "Request/AgedEstimateSelector.h"
+#include "Request/Allowance.h"
 #include "Request/AttemptEvaluation.h"
 #include "Request/AttemptResult.h"
 #include "Request/Claim.h"
@@ -19,6 +20,7 @@
 #include "Request/RequestExecutor.h"
 #include "Request/RequestInfo.h"
 #include "Request/RequestInterfaces.h"
+#include "Request/RequestPriority.h"
 #include "Request/RetryDecision.h"
 #include "Request/RoundRobinSelector.h"
 #include "Request/TargetEligibility.h"
--- a/Source/Version/RouteTable.cpp
+++ b/Source/Version/RouteTable.cpp
@@ -53,9 +53,30 @@
                 return makeError(VersionError::DuplicateName, it.prefix);
         }
     }
+    TRY(table->indexKeys());
     return std::shared_ptr<const RouteTable>(std::move(table));
 }
 
+Result<> RouteTable::indexKeys()
+{
+    std::set<std::string_view> names;
+    for (const auto &workspace : m_content.workspaces) {
+        if (!names.insert(workspace.name).second)
+            return makeError(VersionError::DuplicateName, workspace.name);
+        for (const auto &key : workspace.keys) {
+            if (!m_workspacesByKey.emplace(key, &workspace).second)
+                return makeError(VersionError::DuplicateName, "key of " + workspace.name);
+        }
+    }
+    return success();
+}
+
+const Workspace *RouteTable::findWorkspace(const KeyDigest &key) const
+{
+    const auto it = m_workspacesByKey.find(key);
+    return it == m_workspacesByKey.end() ? nullptr : it->second;
+}
+
 const UpstreamService *RouteTable::findService(std::string_view name) const
 {
     const auto it = std::find_if(
--- a/Source/Version/RouteTable.h
+++ b/Source/Version/RouteTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Core/Core.h"
+#include "Version/Workspace.h"
 
 #include <cstdint>
 #include <memory>
@@ -34,6 +35,8 @@
     Duration timeout{};
     /** Response time that the operator aims for. Zero if none is set. */
     Duration latencyObjective{};
+    /** Whether requests need no API key. */
+    bool isPublic = false;
     /** Services that share the requests. Never empty in a RouteTable. */
     std::vector<WeightedService> services;
 };
@@ -55,6 +58,10 @@
     std::string healthPath;
     /** Maximum number of connections to one target from all VMs together. */
     unsigned maxConnections = 0;
+    /** How long a target is cold after a start during traffic. Zero if that is not stated. */
+    Duration warmupTime{};
+    /** Requests per second that a cold target tolerates. Zero if there is no limit. */
+    double warmupRequestsPerSecond = 0;
 };
 
 /** Routes of one host name. */
@@ -71,6 +78,8 @@
     std::vector<HostRoutes> hosts;
     std::vector<UpstreamService> services;
     RequestLimits limits;
+    /** If not empty, requests on routes that are not public need the API key of a workspace. */
+    std::vector<Workspace> workspaces;
 };
 
 /** One version of the operator's routes. Immutable and shared by all threads. */
@@ -81,7 +90,8 @@
      * @return the table. VersionError::DuplicateName if a host is listed twice or has two routes
      *         with the same prefix. VersionError::OutOfRange if a route's prefix does not begin and
      *         end with a slash, if a weight is negative or all weights of a route are zero, or if a
-     *         route refers to a service that is not listed.
+     *         route refers to a service that is not listed. VersionError::DuplicateName if two
+     *         workspaces have the same name or share a key.
      */
     static Result<std::shared_ptr<const RouteTable>> create(RouteTableContent content);
 
@@ -96,17 +106,24 @@
      * @return the route with the longest matching prefix, or null.
      */
     const Route *findRoute(std::string_view host, std::string_view requestTarget) const;
+    /** @return whether requests on routes that are not public need an API key. */
+    bool requiresKeys() const { return !m_content.workspaces.empty(); }
+    const std::vector<Workspace> &workspaces() const { return m_content.workspaces; }
+    /** @return the workspace that holds the key, or null. */
+    const Workspace *findWorkspace(const KeyDigest &key) const;
     /** @return the route to the service with the highest priority (lowest number), or null. */
     const Route *highestPriorityRoute(const ServiceName &service) const;
 
 private:
     explicit RouteTable(RouteTableContent content);
+    Result<> indexKeys();
 
     RouteTableContent m_content;
     /** Index of each host by its name in lower case. */
     std::unordered_map<std::string, std::size_t> m_hostIndex;
     /** Route with the highest priority to each service. */
     std::unordered_map<ServiceName, const Route *> m_highestPriority;
+    std::unordered_map<KeyDigest, const Workspace *> m_workspacesByKey;
 };
 
 } // namespace Sapphireladder
--- a/Source/Version/Version.h
+++ b/Source/Version/Version.h
@@ -9,3 +9,4 @@
 #include "Version/PresetSnapshot.h"
 #include "Version/RouteTable.h"
 #include "Version/VersionError.h"
+#include "Version/Workspace.h"
