--- a/Tests/Soak/SoakGateway.cpp
+++ b/Tests/Soak/SoakGateway.cpp
@@ -44,18 +44,22 @@
         << "\"\nrelay_endpoint: \"" << m_relay.toString() << "\"\nplatform_endpoint: \""
         << m_settings.store.toString() << "\"\ncores: " << m_settings.cores
         << "\nfirst_start: " << (m_settings.isFirstStart ? "true" : "false")
-        << "\nstop_grace: \"6s\"\nchange_bound: \"2s\"\nasks_per_target: 60\n";
+        << "\nstop_grace: \"6s\"\nchange_bound: \"2s\"\nasks_per_target: 60\n"
+        << m_settings.extraSettings;
 }
 
 void SoakGateway::start()
 {
     writeSettings();
     m_process.reset();
+    const auto limit = m_settings.descriptorLimit == 0
+                               ? std::string()
+                               : "ulimit -n " + std::to_string(m_settings.descriptorLimit) + "; ";
     m_process = std::make_unique<Scenarios::ChildProcess>(
-            "/bin/sh",
-            std::vector<std::string>{"-c", "exec '" + programPath() + "' gateway --settings '"
-                                                   + m_settingsFile.path() + "' >> '"
-                                                   + m_logFile.path() + "' 2>&1"});
+            "/bin/sh", std::vector<std::string>{"-c", limit + "exec '" + programPath()
+                                                              + "' gateway --settings '"
+                                                              + m_settingsFile.path() + "' >> '"
+                                                              + m_logFile.path() + "' 2>&1"});
 }
 
 std::string SoakGateway::log() const
--- a/Tests/Soak/SoakGateway.h
+++ b/Tests/Soak/SoakGateway.h
@@ -20,6 +20,10 @@
     Endpoint store;
     double cores = 1;
     bool isFirstStart = false;
+    /** Further lines of the settings file. */
+    std::string extraSettings;
+    /** Limit of open descriptors of the process; 0 for that of the test. */
+    unsigned descriptorLimit = 0;
 };
 
 /** @return a port that was free at the time of the call. */
@@ -35,6 +39,8 @@
     void start();
     Scenarios::ChildProcess &process() { return *m_process; }
     const Endpoint &endpoint() const { return m_endpoint; }
+    const Endpoint &readyEndpoint() const { return m_ready; }
+    const Endpoint &metricsEndpoint() const { return m_metrics; }
     const std::string &vm() const { return m_settings.vm; }
     /** @return what all starts of the process have logged. */
     std::string log() const;
