Connection, Process: Bound what callers that do not behave can take

Crowds of callers took more memory than a VM has, or all of its descriptors. The buffer budget now follows the memory of the VM, counts parsed heads, input sent ahead and unsent answers, and evicts what made no progress for longest times its size; callers are evicted, too, with a 503 while their request is incomplete and with a close while they do not read. A request that has reached a handler is never evicted. Bodies are held once: they grow up to their limit only, are shared between attempts, and answers are written from two buffers. Heads of more than 512 fields get 431; a request that is refused whatever its body is is refused at its head. Bodies and answers need 1 KiB/s after 10 s. At the connection limit, which leaves descriptors for targets, the connections that were inactive for longest give way; the ready and metrics endpoints have 16 connections and 1 MiB each of their own.

--- a/Source/Connection/Connection.h
+++ b/Source/Connection/Connection.h
@@ -4,4 +4,5 @@
 
 #include "Connection/ConnectionError.h"
 #include "Connection/ConnectionReuse.h"
+#include "Connection/TransferRate.h"
 #include "Core/Core.h"
--- a/Source/Connection/Loop/BodyDecoder.cpp
+++ b/Source/Connection/Loop/BodyDecoder.cpp
@@ -55,12 +55,25 @@
     const auto part = input.substr(0, size);
     if (m_body.size() + part.size() > m_maxBytes)
         return ReadProgress::TooLarge;
+    reserveFor(part.size(), size);
     m_body.append(part);
     m_remaining -= part.size();
     input.remove_prefix(part.size());
     return ReadProgress::NeedMore;
 }
 
+void BodyDecoder::reserveFor(std::size_t partSize, std::uint64_t remaining)
+{
+    const auto needed = m_body.size() + partSize;
+    if (needed <= m_body.capacity())
+        return;
+    const std::uint64_t largest = m_framing == BodyFraming::ContentLength
+                                          ? m_body.size() + remaining
+                                          : m_maxBytes;
+    m_body.reserve(std::max<std::uint64_t>(
+            needed, std::min<std::uint64_t>(2 * m_body.capacity(), largest)));
+}
+
 ReadProgress BodyDecoder::feedChunked(std::string_view &input)
 {
     while (m_chunkState != ChunkState::Done) {
--- a/Source/Connection/Loop/BodyDecoder.h
+++ b/Source/Connection/Loop/BodyDecoder.h
@@ -58,6 +58,8 @@
     };
 
     ReadProgress append(std::string_view &input, std::uint64_t size);
+    /** Grows the buffer by doubling, but not beyond the largest size that the body can have. */
+    void reserveFor(std::size_t partSize, std::uint64_t remaining);
     ReadProgress feedChunked(std::string_view &input);
     ReadProgress readLine(std::string_view &input);
     ReadProgress processLine();
--- a/Source/Connection/Loop/BufferBudget.h
+++ b/Source/Connection/Loop/BufferBudget.h
@@ -14,8 +14,9 @@
 /**
  * The part of a budget that one connection uses. Returned on destruction.
  *
- * If the budget is exhausted, the connection that holds the most has to end, whichever asks for
- * more: otherwise a target that sends without end would make the messages of others fail.
+ * If the budget is exhausted, the connection has to end that holds the most for the longest time
+ * without progress, whichever asks for more: otherwise a target that sends without end, or callers
+ * that stop before the end of their requests, would make the messages of others fail.
  */
 class BufferReservation
     : public boost::intrusive::list_base_hook<
@@ -35,10 +36,14 @@
     ~BufferReservation() { release(); }
 
     /**
-     * Changes the size of the reservation. Evicts larger ones if the budget is exhausted.
+     * Changes the size of the reservation. If the budget is exhausted, evicts others that are
+     * larger or have made no progress for longer.
+     * @param now time of the last progress of the connection
      * @return whether the budget allows it.
      */
-    bool resize(std::size_t bytes);
+    bool resize(std::size_t bytes, TimePoint now = {});
+    /** Excludes the reservation from eviction, or includes it again. */
+    void setEvictable(bool isEvictable) { m_isEvictable = isEvictable; }
     void release();
 
 private:
@@ -47,6 +52,8 @@
     BufferBudget &m_budget;
     EvictionHandler m_evictionHandler;
     std::size_t m_bytes = 0;
+    TimePoint m_progressAt{};
+    bool m_isEvictable = true;
     /** The connection has to end, and has not released the reservation yet. */
     bool m_isEvicted = false;
 };
@@ -62,20 +69,33 @@
     /** Strings that grow take up to twice their size, and the smallest VMs have 160 MB. */
     static constexpr std::size_t defaultMaxBytes = 32 * mebibyte;
 
+    /**
+     * @param memoryBytes memory of the VM; 0 if unknown
+     * @return maximum number of bytes for the budget of a VM.
+     */
+    static std::size_t maxBytesFor(std::size_t memoryBytes);
+
     explicit BufferBudget(std::size_t maxBytes = defaultMaxBytes)
         : m_maxBytes(maxBytes)
     {}
 
     std::size_t usedBytes() const { return m_usedBytes; }
+    std::size_t maxBytes() const { return m_maxBytes; }
+    /** @return the number of reservations that were evicted. */
+    std::uint64_t evictionCount() const { return m_evictionCount; }
 
 private:
     friend class BufferReservation;
 
-    /** Evicts the largest reservation if it is larger than this one. @return whether it was. */
-    bool evictLargerThan(const BufferReservation &reservation);
+    /**
+     * Evicts the reservation with the largest weight if that is larger than the weight of this one.
+     * @return whether it was.
+     */
+    bool evictHeavierThan(const BufferReservation &reservation, TimePoint now);
 
     const std::size_t m_maxBytes;
     std::size_t m_usedBytes = 0;
+    std::uint64_t m_evictionCount = 0;
     boost::intrusive::list<BufferReservation, boost::intrusive::constant_time_size<false>>
             m_reservations;
 };
--- a/Source/Connection/Loop/CallerSession.h
+++ b/Source/Connection/Loop/CallerSession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Connection/Connection.h"
 #include "Connection/Loop/LoopContext.h"
 #include "Connection/Loop/RequestReader.h"
 #include "Version/Version.h"
@@ -44,6 +45,11 @@
                                                          ReplyHandler reply) = 0;
     /** Called when the session has refused an invalid request itself. */
     virtual void recordInvalidRequest(RefusalReason reason) = 0;
+    /**
+     * @param head the request without its body
+     * @return whether handle() refuses the request whatever its body is.
+     */
+    virtual bool refusesHead(const CallerRequest &) const { return false; }
     /** @return the limits in force for requests. */
     virtual const RequestLimits &limits() const = 0;
     /** @return whether sessions close their connection after the next response. */
@@ -75,6 +81,12 @@
     void expire();
     /** @return whether a request is being read or served, or a response being written. */
     bool isBusy() const;
+    /** @return when the caller last sent or took something. */
+    TimePoint activeAt() const { return m_activeAt; }
+    /** @return whether the connection may be closed in favour of another: it serves no request. */
+    bool isSheddable() const;
+    /** Closes the connection at once. */
+    void close();
 
 private:
     enum class State : std::uint8_t {
@@ -89,32 +101,55 @@
     bool hasUnreadInput() const;
     void waitForInput();
     void handleReadable();
-    void processInput();
-    void serve();
+    /** Parses input of a request. Keeps what follows the request as input sent ahead. */
+    void processInput(std::string_view input);
+    /** @param isWithinBudget whether the buffer budget allows the request */
+    void handleProgress(ReadProgress progress, bool isWithinBudget);
+    void startReading();
+    /** The head is complete and the body is not. */
+    void awaitBody();
+    /** Keeps input behind the request that is being served. */
+    void receiveAhead(std::string_view input);
+    void discard(std::size_t bytes);
+    /** The part of a request that has been received. */
+    enum class RequestPart : std::uint8_t { Head, Whole };
+    void serve(RequestPart part);
     void refuse(RefusalReason reason);
     void reply(CallerReply reply);
-    void write(std::string bytes);
-    void handleWritten(const boost::system::error_code &ec);
+    void write(EncodedOutcome message);
+    void writeSome();
+    void handleWritten();
+    void releaseOutput();
     void linger();
     void handleTimeout();
-    void close();
+    /** Ends the request or the response because it takes memory that others need. */
+    void handleEviction();
 
     LoopContext &m_context;
     TcpSocket m_socket;
     LoopTimer m_timer;
-    /** Size of the request, from its first byte until the response is written. */
+    /** Memory of the request until it is answered, then of the unsent part of the response. */
     BufferReservation m_buffered;
     RequestHandler &m_handler;
     SessionRegistry &m_registry;
     State m_state = State::Reading;
+    /** Input behind the request that is being served. */
     std::string m_input;
     bool m_isReadPaused = false;
     std::optional<RequestReader> m_reader;
     TimePoint m_arrivedAt{};
+    TimePoint m_activeAt{};
+    /** Rate of the transfer of a request body or a response. */
+    std::optional<TransferRate> m_rate;
+    /** Memory of the request that is being served. */
+    std::size_t m_requestBytes = 0;
+    std::size_t m_discardedBytes = 0;
+    TimePoint m_lingerEnd{};
     bool m_shouldCloseAfterResponse = false;
     bool m_isHeadRequest = false;
     std::shared_ptr<PendingRequestHandle> m_pending;
-    std::string m_output;
+    EncodedOutcome m_output;
+    std::size_t m_sentBytes = 0;
 };
 
 } // namespace Sapphireladder
--- a/Source/Connection/Loop/HeadBuffer.h
+++ b/Source/Connection/Loop/HeadBuffer.h
@@ -22,7 +22,8 @@
     std::string_view lines() const;
     std::size_t size() const { return m_text.size(); }
     bool isEmpty() const { return m_text.empty(); }
-    void clear() { m_text.clear(); }
+    /** Drops the text and its memory. */
+    void clear() { std::string().swap(m_text); }
 
 private:
     std::size_t m_maxBytes;
--- a/Source/Connection/Loop/LoopContext.cpp
+++ b/Source/Connection/Loop/LoopContext.cpp
@@ -43,10 +43,18 @@
         ::setsockopt(socket.native_handle(), it.level, it.name, &it.value, sizeof it.value);
 }
 
+void limitUnsentBytes(TcpSocket &socket, std::size_t maxBytes)
+{
+    const int value = static_cast<int>(maxBytes);
+    // Errors are ignored: the kernel then holds more, and answers that are not read are still
+    // bounded by the budget.
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &value, sizeof value);
+}
+
 std::string_view readAvailable(LoopContext &context, TcpSocket &socket,
-                               boost::system::error_code &ec)
+                               boost::system::error_code &ec, std::size_t maxBytes)
 {
-    const auto size = socket.read_some(boost::asio::buffer(context.receiveBuffer), ec);
+    const auto size = socket.read_some(boost::asio::buffer(context.receiveBuffer, maxBytes), ec);
     if (ec == boost::asio::error::would_block)
         ec.clear();
     return {context.receiveBuffer.data(), size};
--- a/Source/Connection/Loop/LoopContext.h
+++ b/Source/Connection/Loop/LoopContext.h
@@ -27,6 +27,8 @@
     std::array<char, 64 * kibibyte> receiveBuffer{};
     /** Limit for the incomplete messages of all connections. */
     BufferBudget buffers{};
+    /** Maximum of bytes that the kernel holds unsent for a caller; 0 for the kernel's default. */
+    std::size_t maxUnsentBytes = 0;
 };
 
 /** @return the endpoint for Asio, or nothing if the host is not an IP address. */
@@ -40,13 +42,18 @@
  */
 void setSocketOptions(TcpSocket &socket, Duration ackTimeout);
 
+/** Limits the bytes that the kernel holds unsent for a socket. */
+void limitUnsentBytes(TcpSocket &socket, std::size_t maxBytes);
+
 /**
  * Reads the available input without blocking.
  * @param ec set if the connection has ended
+ * @param maxBytes maximum number of bytes to read
  * @return a view into the context's receive buffer, valid until the next read.
  */
 std::string_view readAvailable(LoopContext &context, TcpSocket &socket,
-                               boost::system::error_code &ec);
+                               boost::system::error_code &ec,
+                               std::size_t maxBytes = std::string_view::npos);
 
 /**
  * Calls a member function after a delay, unless the object is destroyed or the timer restarted
--- a/Source/Connection/Loop/RequestReader.cpp
+++ b/Source/Connection/Loop/RequestReader.cpp
@@ -24,6 +24,11 @@
                        [name](auto field) { return equalsIgnoringCase(field, name); });
 }
 
+std::size_t RequestReader::bufferedBytes() const
+{
+    return m_head.size() + m_fieldBytes + m_body.bufferedBytes();
+}
+
 ReadProgress RequestReader::feed(std::string_view &input)
 {
     if (!m_hasHead) {
@@ -45,6 +50,11 @@
 
 ReadProgress RequestReader::processHead()
 {
+    const auto lines = m_head.lines();
+    if (static_cast<std::size_t>(std::count(lines.begin(), lines.end(), '\n')) > maxFields + 1) {
+        m_refusalReason = RefusalReason::HeaderTooLarge;
+        return ReadProgress::TooLarge;
+    }
     HTTPRequest head;
     if (!parseRequestHead(m_head.lines(), head))
         return ReadProgress::Malformed;
@@ -57,6 +67,9 @@
     m_request.requestTarget = head.getURI();
     m_request.host = head.get(HTTPRequest::HOST, "");
     m_request.keepsConnection = Sapphireladder::isKeepAlive(head);
+    m_request.headers.reserve(head.size());
+    m_fieldBytes = m_head.size() + head.size() * sizeof(HeaderField);
+    m_head.clear();
     for (const auto &[name, value] : head) {
         if (!isConnectionSpecificField(name) && !hasToken(head, HTTPRequest::CONNECTION, name))
             m_request.headers.push_back({name, value});
--- a/Source/Connection/Loop/RequestReader.h
+++ b/Source/Connection/Loop/RequestReader.h
@@ -35,8 +35,12 @@
         , m_maxBodyBytes(maxBodyBytes)
     {}
 
-    /** @return size of the part that has been received. */
-    std::size_t bufferedBytes() const { return m_head.size() + m_body.bufferedBytes(); }
+    /** Maximum number of header fields. Even at the largest head of 16 KiB, ordinary fields with
+     * their 30 bytes or more do not reach it; parsing takes time with the square of the number. */
+    static constexpr std::size_t maxFields = 512;
+
+    /** @return memory that the part takes that has been received. */
+    std::size_t bufferedBytes() const;
     /** Consumes the bytes of the request from the front of the input. */
     ReadProgress feed(std::string_view &input);
     /** @return the reason to refuse the request, after feed() returned Malformed or TooLarge. */
@@ -44,6 +48,10 @@
     bool hasStarted() const { return m_hasHead || !m_head.isEmpty(); }
     /** @return whether an interim 100 (Continue) response is due; true once per request at most. */
     bool takeContinueExpectation();
+    /** @return whether the head is complete. */
+    bool hasHead() const { return m_hasHead; }
+    /** @return the request without its body, once the head is complete. */
+    const CallerRequest &head() const { return m_request; }
     CallerRequest takeRequest();
 
 private:
@@ -53,6 +61,8 @@
     std::size_t m_maxBodyBytes;
     bool m_hasHead = false;
     bool m_expectsContinue = false;
+    /** Memory of the parsed head. */
+    std::size_t m_fieldBytes = 0;
     RefusalReason m_refusalReason = RefusalReason::BadRequest;
     CallerRequest m_request;
     BodyDecoder m_body;
--- a/Source/Connection/Loop/UpstreamConnection.cpp
+++ b/Source/Connection/Loop/UpstreamConnection.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 
 namespace Sapphireladder {
 
@@ -78,8 +79,12 @@
     callAfter(m_timer, weak_from_this(),
               std::max(Duration::zero(), *m_deadline - m_context.clock.now()),
               &UpstreamConnection::handleTimeout);
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_request->bytes),
-                             [self = shared_from_this()](const auto &ec, std::size_t size) {
+    const auto body = m_request->body;
+    const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(m_request->bytes),
+                                                           body ? boost::asio::buffer(*body)
+                                                                : boost::asio::const_buffer()};
+    boost::asio::async_write(m_socket, buffers,
+                             [self = shared_from_this(), body](const auto &ec, std::size_t size) {
                                  self->handleSent(ec, size);
                              });
 }
@@ -125,7 +130,8 @@
     }
     while (true) {
         auto progress = m_reader->feed(input);
-        if (!m_buffered.resize(m_reader->bufferedBytes()) && progress == ReadProgress::NeedMore)
+        if (!m_buffered.resize(m_reader->bufferedBytes(), m_context.clock.now())
+            && progress == ReadProgress::NeedMore)
             progress = ReadProgress::TooLarge;
         if (progress == ReadProgress::NeedMore)
             return;
--- a/Source/Connection/Loop/UpstreamConnection.h
+++ b/Source/Connection/Loop/UpstreamConnection.h
@@ -23,8 +23,10 @@
 /** An encoded request to an upstream and the rules for its response. */
 struct UpstreamRequest
 {
-    /** The encoded head and body. */
+    /** The encoded head, and the body unless it is shared. */
     std::string bytes;
+    /** Body that is sent after the bytes, shared with other attempts; null if there is none. */
+    std::shared_ptr<const std::string> body;
     /** Whether the method forbids a body in the response. */
     bool isBodyless = false;
     std::size_t maxResponseBodyBytes = mebibyte;
--- a/Source/Main/GatewayProcess.cpp
+++ b/Source/Main/GatewayProcess.cpp
@@ -6,6 +6,8 @@
 
 #include <csignal>
 
+#include <malloc.h>
+
 namespace Sapphireladder {
 
 namespace {
@@ -27,6 +29,9 @@
 constexpr Duration stopGraceMargin = 400ms;
 /** Time before the end of the stop at which the last requests end, to write their responses. */
 constexpr Duration lastResponseTime = 150ms;
+/** Buffers of this size or more are returned to the system when they are freed. By default glibc
+ * raises the threshold to the largest size freed, and large buffers then fragment the heap. */
+constexpr int mappedBufferBytes = 128 * 1024;
 
 } // namespace
 
@@ -61,6 +66,7 @@
 Result<> GatewayProcess::run()
 {
     std::signal(SIGPIPE, SIG_IGN);
+    ::mallopt(M_MMAP_THRESHOLD, mappedBufferBytes);
     m_log.setPendingHandler(
             [this] { boost::asio::post(m_controlIo, [this] { scheduleFlush(); }); });
     TRY(m_gateway.listen());
--- a/Source/Process/Loop/ConnectionListener.cpp
+++ b/Source/Process/Loop/ConnectionListener.cpp
@@ -14,9 +14,11 @@
 
 } // namespace
 
-ConnectionListener::ConnectionListener(LoopContext &context, AcceptHandler handler)
+ConnectionListener::ConnectionListener(LoopContext &context, AcceptHandler handler,
+                                       ExhaustionHandler exhaustionHandler)
     : m_context(context)
     , m_handler(std::move(handler))
+    , m_exhaustionHandler(std::move(exhaustionHandler))
     , m_acceptor(context.io)
     , m_retryTimer(context.io)
 {}
@@ -46,6 +48,8 @@
         if (ec == boost::asio::error::operation_aborted || !m_acceptor.is_open())
             return;
         if (ec) {
+            if (m_exhaustionHandler)
+                m_exhaustionHandler();
             retryAcceptLater();
             return;
         }
--- a/Source/Process/Loop/ConnectionListener.h
+++ b/Source/Process/Loop/ConnectionListener.h
@@ -13,9 +13,15 @@
 {
 public:
     using AcceptHandler = std::function<void(TcpSocket socket)>;
+    using ExhaustionHandler = std::function<void()>;
 
-    /** @param context must outlive the listener */
-    ConnectionListener(LoopContext &context, AcceptHandler handler);
+    /**
+     * @param context must outlive the listener
+     * @param exhaustionHandler called when accepting fails, for example because the process has no
+     * descriptor left; it may close connections
+     */
+    ConnectionListener(LoopContext &context, AcceptHandler handler,
+                       ExhaustionHandler exhaustionHandler = {});
 
     /** Starts listening. @return ConnectionError::ListenFailed if the address cannot be bound. */
     Result<> listen(const Endpoint &endpoint);
@@ -32,6 +38,7 @@
 
     LoopContext &m_context;
     AcceptHandler m_handler;
+    ExhaustionHandler m_exhaustionHandler;
     boost::asio::ip::tcp::acceptor m_acceptor;
     LoopTimer m_retryTimer;
 };
--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -23,6 +23,12 @@
 constexpr double otherProbeShare = 0.4;
 /** Initial estimate of a route's service time, as a fraction of its latency objective. */
 constexpr double initialServiceTimeShare = 0.4;
+/** Buffers of all connections to the ready and metrics endpoints. */
+constexpr std::size_t statusBufferBytes = mebibyte;
+/** Connections to each of the ready and metrics endpoints. */
+constexpr std::size_t maxStatusConnections = 16;
+/** Unsent bytes that the kernel holds for a caller, if the memory of the VM is known. */
+constexpr std::size_t maxUnsentBytes = 64 * kibibyte;
 /** Weight of a new sample in the moving average of a route's service time. */
 constexpr double serviceTimeSampleWeight = 0.05;
 
@@ -30,19 +36,40 @@
 
 Gateway::Gateway(boost::asio::io_context &io, const Clock &clock, const HeaderCodec &headerCodec,
                  EventSink &events, GatewaySettings settings)
-    : m_context{io, clock}
+    : m_context{.io = io,
+                .clock = clock,
+                .buffers = BufferBudget(BufferBudget::maxBytesFor(settings.memoryBytes)),
+                .maxUnsentBytes = settings.memoryBytes > 0 ? maxUnsentBytes : 0}
+    , m_statusContext{.io = io,
+                      .clock = clock,
+                      .buffers = BufferBudget(statusBufferBytes),
+                      .maxUnsentBytes = maxUnsentBytes}
     , m_headerCodec(headerCodec)
     , m_events(events)
     , m_settings(std::move(settings))
     , m_random(RandomSource::fromSystem())
     , m_snapshot(std::make_shared<GatewaySnapshot>())
+    , m_callerSessions(m_context,
+                       callerConnectionLimit(m_settings.maxConnections, m_settings.maxDescriptors))
+    , m_readySessions(m_statusContext, maxStatusConnections)
+    , m_metricsSessions(m_statusContext, maxStatusConnections)
     , m_readyHandler({{"/ready", [this] { return readiness(); }}})
     , m_metricsHandler({{"/metrics", [this] { return textResponse(metricsText()); }}})
-    , m_callerListener(m_context, [this](TcpSocket socket) { accept(std::move(socket), *this); })
-    , m_readyListener(m_context,
-                      [this](TcpSocket socket) { accept(std::move(socket), m_readyHandler); })
-    , m_metricsListener(m_context,
-                        [this](TcpSocket socket) { accept(std::move(socket), m_metricsHandler); })
+    , m_callerListener(
+              m_context, [this](TcpSocket socket) { accept(std::move(socket)); },
+              [this] { m_callerSessions.shed(); })
+    , m_readyListener(
+              m_statusContext,
+              [this](TcpSocket socket) {
+                  m_readySessions.accept(std::move(socket), m_readyHandler);
+              },
+              [this] { m_callerSessions.shed(); })
+    , m_metricsListener(
+              m_statusContext,
+              [this](TcpSocket socket) {
+                  m_metricsSessions.accept(std::move(socket), m_metricsHandler);
+              },
+              [this] { m_callerSessions.shed(); })
 {}
 
 Gateway::~Gateway() = default;
@@ -247,21 +274,16 @@
     return m_snapshot->routes ? m_snapshot->routes->limits() : standard;
 }
 
-void Gateway::accept(TcpSocket socket, RequestHandler &handler)
+bool Gateway::refusesHead(const CallerRequest &head) const
 {
-    if (m_sessions.size() >= m_settings.maxConnections) {
-        m_events.record(EventId::CallerConnectionRefused,
-                        {{"open", std::to_string(m_sessions.size())}});
-        return;
-    }
-    auto session = std::make_shared<CallerSession>(m_context, std::move(socket), handler, *this);
-    m_sessions.insert(session);
-    session->start();
+    return ProxyExchange::refusesHead(*this, head);
 }
 
-void Gateway::sessionEnded(const std::shared_ptr<CallerSession> &session)
+void Gateway::accept(TcpSocket socket)
 {
-    m_sessions.erase(session);
+    if (!m_callerSessions.accept(std::move(socket), *this))
+        m_events.record(EventId::CallerConnectionRefused,
+                        {{"open", std::to_string(m_callerSessions.size())}});
 }
 
 void Gateway::beginStop(TimePoint deadline)
@@ -274,22 +296,24 @@
 {
     m_acceptsRequests = false;
     m_callerListener.close();
-    for (const auto &it : m_sessions)
-        it->closeIfIdle();
+    for (const auto *pool : {&m_callerSessions, &m_readySessions, &m_metricsSessions}) {
+        for (const auto &it : pool->sessions())
+            it->closeIfIdle();
+    }
 }
 
 void Gateway::expireRequests()
 {
     // A reply may end its session.
-    const std::vector<std::shared_ptr<CallerSession>> sessions(m_sessions.begin(),
-                                                               m_sessions.end());
+    const auto sessions = m_callerSessions.sessions();
     for (const auto &it : sessions)
         it->expire();
 }
 
 bool Gateway::isIdle() const
 {
-    return std::none_of(m_sessions.begin(), m_sessions.end(),
+    const auto &sessions = m_callerSessions.sessions();
+    return std::none_of(sessions.begin(), sessions.end(),
                         [](const auto &it) { return it->isBusy(); });
 }
 
@@ -323,7 +347,13 @@
              m_snapshot->routes ? m_snapshot->routes->version() : 0},
             {"sapphireladder_targets", "gauge", m_upstreamEntries.size()},
             {"sapphireladder_fleet_size", "gauge", m_snapshot->fleetSize},
-            {"sapphireladder_caller_connections", "gauge", m_sessions.size()},
+            {"sapphireladder_caller_connections", "gauge", m_callerSessions.size()},
+            {"sapphireladder_caller_connection_limit", "gauge", m_callerSessions.maxSessions()},
+            {"sapphireladder_caller_connections_shed_total", "counter",
+             m_callerSessions.shedCount()},
+            {"sapphireladder_buffered_bytes", "gauge", m_context.buffers.usedBytes()},
+            {"sapphireladder_buffer_limit_bytes", "gauge", m_context.buffers.maxBytes()},
+            {"sapphireladder_buffer_evictions_total", "counter", m_context.buffers.evictionCount()},
             {"sapphireladder_load_questions_total", "counter", m_upstreamCounters.probesSent},
             {"sapphireladder_load_questions_failed_total", "counter",
              m_upstreamCounters.probesFailed},
--- a/Source/Process/Loop/Gateway.h
+++ b/Source/Process/Loop/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Process/Loop/ConnectionListener.h"
+#include "Process/Loop/SessionPool.h"
 #include "Process/Loop/StatusHandler.h"
 #include "Process/Process.h"
 #include "Request/Loop/RequestLoop.h"
@@ -8,7 +9,6 @@
 #include <map>
 #include <memory>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 namespace Sapphireladder {
@@ -20,7 +20,6 @@
 class Gateway final
     : public TrafficEnvironment
     , public RequestHandler
-    , public SessionRegistry
     , public SnapshotSink
 {
 public:
@@ -77,9 +76,7 @@
     void recordInvalidRequest(RefusalReason reason) override;
     const RequestLimits &limits() const override;
     bool isStopping() const override { return m_isStopping; }
-
-    // SessionRegistry
-    void sessionEnded(const std::shared_ptr<CallerSession> &session) override;
+    bool refusesHead(const CallerRequest &head) const override;
 
 private:
     /** A target of the snapshot with this VM's connections to it and load statistics of it. */
@@ -108,9 +105,12 @@
     RetryBudgetPolicy retryBudgetPolicy() const;
     RequestOutcome readiness() const;
     std::string metricsText() const;
-    void accept(TcpSocket socket, RequestHandler &handler);
+    void accept(TcpSocket socket);
 
     LoopContext m_context;
+    /** Separate, so that neither callers nor a crowd at the status endpoints fill the buffers of
+     * the other. */
+    LoopContext m_statusContext;
     const HeaderCodec &m_headerCodec;
     EventSink &m_events;
     GatewaySettings m_settings;
@@ -131,12 +131,15 @@
     bool m_isStopping = false;
     std::optional<TimePoint> m_stopDeadline;
     bool m_acceptsRequests = true;
+    // The pools are declared before the listeners, which pass connections to them.
+    SessionPool m_callerSessions;
+    SessionPool m_readySessions;
+    SessionPool m_metricsSessions;
     StatusHandler m_readyHandler;
     StatusHandler m_metricsHandler;
     ConnectionListener m_callerListener;
     ConnectionListener m_readyListener;
     ConnectionListener m_metricsListener;
-    std::unordered_set<std::shared_ptr<CallerSession>> m_sessions;
 };
 
 } // namespace Sapphireladder
--- a/Source/Process/Loop/ProcessLoop.h
+++ b/Source/Process/Loop/ProcessLoop.h
@@ -8,6 +8,7 @@
 #include "Process/Loop/RelayCodec.h"
 #include "Process/Loop/RelayLink.h"
 #include "Process/Loop/RelayServer.h"
+#include "Process/Loop/SessionPool.h"
 #include "Process/Loop/StatusHandler.h"
 #include "Process/Loop/TableFollower.h"
 #include "Process/Process.h"
--- a/Source/Process/Loop/StatusHandler.h
+++ b/Source/Process/Loop/StatusHandler.h
@@ -32,7 +32,8 @@
 
 private:
     std::vector<StatusPage> m_pages;
-    RequestLimits m_limits;
+    /** Requests for pages have no body. Probes and scrapers send heads of less than 1 KiB. */
+    RequestLimits m_limits{.maxHeadBytes = 4 * kibibyte, .maxBodyBytes = kibibyte};
 };
 
 /** @return a 200 response with the text as body. */
--- a/Source/Request/Http/ResponseEncoder.cpp
+++ b/Source/Request/Http/ResponseEncoder.cpp
@@ -19,7 +19,7 @@
 {
     const ResponseContext &context;
 
-    std::string operator()(const Response &response) const
+    EncodedOutcome operator()(Response response) const
     {
         HTTPResponse head;
         for (const auto &it : response.headers)
@@ -28,15 +28,15 @@
         for (const auto &it : {outcomeHeader, reasonHeader, requestIdHeader})
             head.erase(it);
         head.set(outcomeHeader, "answered");
-        return encode(head, response.status, response.body);
+        return encode(head, response.status, std::move(response.body));
     }
 
-    std::string operator()(const Refusal &refusal) const
+    EncodedOutcome operator()(const Refusal &refusal) const
     {
         return encodeLocalResponse(statusOf(refusal.reason), "not-run", nameOf(refusal.reason));
     }
 
-    std::string operator()(const Unknown &unknown) const
+    EncodedOutcome operator()(const Unknown &unknown) const
     {
         const unsigned status = unknown.reason == UnknownReason::ResponseTimeout   ? 504
                                 : unknown.reason == UnknownReason::AlreadyAccepted ? 409
@@ -45,8 +45,8 @@
     }
 
 private:
-    std::string encodeLocalResponse(unsigned status, std::string_view outcome,
-                                    std::string_view reason) const
+    EncodedOutcome encodeLocalResponse(unsigned status, std::string_view outcome,
+                                       std::string_view reason) const
     {
         HTTPResponse head;
         head.set(outcomeHeader, std::string(outcome));
@@ -57,7 +57,7 @@
         return encode(head, status, std::string(outcome) + ": " + std::string(reason) + "\n");
     }
 
-    std::string encode(HTTPResponse &head, unsigned status, std::string_view body) const
+    EncodedOutcome encode(HTTPResponse &head, unsigned status, std::string body) const
     {
         const bool hasBody = !context.isHead && status != noContentStatus
                              && status != notModifiedStatus;
@@ -70,10 +70,7 @@
             head.setContentLength64(static_cast<Poco::Int64>(body.size()));
         std::ostringstream out;
         head.write(out);
-        std::string text = out.str();
-        if (hasBody)
-            text.append(body);
-        return text;
+        return {out.str(), hasBody ? std::move(body) : std::string()};
     }
 };
 
@@ -112,9 +109,15 @@
     }
 }
 
+EncodedOutcome encodeOutcomeParts(RequestOutcome outcome, const ResponseContext &context)
+{
+    return std::visit(OutcomeEncoder{context}, std::move(outcome));
+}
+
 std::string encodeOutcome(const RequestOutcome &outcome, const ResponseContext &context)
 {
-    return std::visit(OutcomeEncoder{context}, outcome);
+    auto parts = encodeOutcomeParts(outcome, context);
+    return std::move(parts.head.append(parts.body));
 }
 
 } // namespace Sapphireladder
--- a/Source/Request/Http/ResponseEncoder.h
+++ b/Source/Request/Http/ResponseEncoder.h
@@ -21,6 +21,20 @@
     std::span<const HeaderField> fields{};
 };
 
+/** An encoded message whose body is separate, so that a large one is not copied. */
+struct EncodedOutcome
+{
+    std::string head;
+    std::string body;
+};
+
+/**
+ * Encodes the outcome of a request for its caller.
+ * @param outcome response, refusal or unknown
+ * @return the head and the body of the HTTP message.
+ */
+EncodedOutcome encodeOutcomeParts(RequestOutcome outcome, const ResponseContext &context);
+
 /**
  * Encodes the outcome of a request for its caller.
  * @param outcome response, refusal or unknown
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -44,6 +44,7 @@
 ProxyExchange::ProxyExchange(TrafficEnvironment &environment, CallerRequest request,
                              RequestHandler::ReplyHandler reply)
     : m_environment(environment)
+    , m_body(std::make_shared<const std::string>(std::move(request.body)))
     , m_request(std::move(request))
     , m_reply(std::move(reply))
     , m_callerMetadata(environment.headerCodec().callerMetadata(m_request.headers))
@@ -51,6 +52,20 @@
     , m_waitTimer(environment.context().io)
 {}
 
+bool ProxyExchange::refusesHead(const TrafficEnvironment &environment, const CallerRequest &head)
+{
+    const auto routes = environment.routes();
+    if (!environment.acceptsRequests() || !routes)
+        return true;
+    const auto *route = routes->findRoute(head.host, head.requestTarget);
+    if (!route)
+        return true;
+    if (!routes->requiresKeys() || route->isPublic)
+        return false;
+    const auto key = environment.headerCodec().callerMetadata(head.headers).key;
+    return !key || !routes->findWorkspace(*key);
+}
+
 void ProxyExchange::start()
 {
     m_routes = m_environment.routes();
@@ -301,6 +316,7 @@
     upstream->stats().requestSent();
     UpstreamRequest request;
     request.bytes = encodeAttempt(*upstream, timeLeft);
+    request.body = m_body;
     request.isBodyless = m_request.method == "HEAD";
     request.maxResponseBodyBytes = maxResponseBodySize;
     request.originOf = [&codec = m_environment.headerCodec(),
@@ -333,11 +349,9 @@
     std::string text = m_request.method + ' ' + m_request.requestTarget + " HTTP/1.1\r\n";
     for (const auto &it : fields)
         text.append(it.name).append(": ").append(it.value).append("\r\n");
-    if (!m_request.body.empty() || (m_request.method != "GET" && m_request.method != "HEAD"))
-        text.append("Content-Length: ")
-                .append(std::to_string(m_request.body.size()))
-                .append("\r\n");
-    text.append("\r\n").append(m_request.body);
+    if (!m_body->empty() || (m_request.method != "GET" && m_request.method != "HEAD"))
+        text.append("Content-Length: ").append(std::to_string(m_body->size())).append("\r\n");
+    text.append("\r\n");
     return text;
 }
 
--- a/Source/Request/Loop/ProxyExchange.h
+++ b/Source/Request/Loop/ProxyExchange.h
@@ -19,6 +19,8 @@
     ProxyExchange(TrafficEnvironment &environment, CallerRequest request,
                   RequestHandler::ReplyHandler reply);
 
+    /** @return whether start() refuses the request whatever its body is. */
+    static bool refusesHead(const TrafficEnvironment &environment, const CallerRequest &head);
     void start();
     void cancel() override;
     void expire() override { deadlinePassed(); }
@@ -58,6 +60,7 @@
     void perform(const WaitStep &step);
     void perform(const RefuseStep &step);
     void send(const std::shared_ptr<Upstream> &upstream);
+    /** @return the head of an attempt. */
     std::string encodeAttempt(const Upstream &upstream, Duration timeLeft) const;
     void attemptEnded(unsigned number, AttemptResult result);
     void updateTarget(const Attempt &attempt, const AttemptResult &result,
@@ -89,6 +92,9 @@
     void logOutcome(const RequestOutcome &outcome) const;
 
     TrafficEnvironment &m_environment;
+    /** Shared with the attempts. */
+    const std::shared_ptr<const std::string> m_body;
+    /** The request without its body. */
     const CallerRequest m_request;
     RequestHandler::ReplyHandler m_reply;
     CallerMetadata m_callerMetadata;
