--- a/Source/Connection/TransferRate.h
+++ b/Source/Connection/TransferRate.h
@@ -12,7 +12,7 @@
 {
     /** Time before the rate counts. */
     Duration grace = std::chrono::seconds(10);
-    /** Mean rate from the begin of the transfer. A modem of 1998 is five times as fast. */
+    /** Minimum of the mean rate since the start of the transfer. */
     std::uint64_t minBytesPerSecond = 1 * kibibyte;
     /** Interval between checks after the grace. */
     Duration checkInterval = std::chrono::seconds(1);
@@ -22,7 +22,7 @@
 class TransferRate
 {
 public:
-    /** @param startedAt begin of the transfer */
+    /** @param startedAt start of the transfer */
     explicit TransferRate(TimePoint startedAt, TransferPolicy policy = {})
         : m_policy(policy)
         , m_startedAt(startedAt)
--- a/Tests/Connection/CallerSessionTest.cpp
+++ b/Tests/Connection/CallerSessionTest.cpp
@@ -29,12 +29,15 @@
             bool &m_isCancelled;
         };
 
-        std::shared_ptr<PendingRequestHandle> handle(CallerRequest, ReplyHandler reply) override
+        std::shared_ptr<PendingRequestHandle> handle(CallerRequest request,
+                                                     ReplyHandler reply) override
         {
+            targets.push_back(request.requestTarget);
             pendingReply = std::move(reply);
             return std::make_shared<Pending>(isCancelled);
         }
-        void recordInvalidRequest(RefusalReason) override {}
+        void recordInvalidRequest(RefusalReason reason) override { refusal = reason; }
+        bool refusesHead(const CallerRequest &) const override { return doesRefuseHeads; }
         const RequestLimits &limits() const override { return requestLimits; }
         bool isStopping() const override { return isStoppingRequested; }
 
@@ -46,6 +49,9 @@
 
         RequestLimits requestLimits;
         ReplyHandler pendingReply;
+        std::vector<std::string> targets;
+        std::optional<RefusalReason> refusal;
+        bool doesRefuseHeads = false;
         bool isCancelled = false;
         bool isStoppingRequested = false;
     };
@@ -68,8 +74,9 @@
     void send()
     {
         static constexpr std::string_view request = "GET /p/ HTTP/1.1\r\nHost: a\r\n\r\n";
-        boost::asio::write(client, boost::asio::buffer(request));
+        send(request);
     }
+    void send(std::string_view text) { boost::asio::write(client, boost::asio::buffer(text)); }
 
     void run()
     {
@@ -148,4 +155,73 @@
     CHECK(registry.isEnded);
 }
 
+// Guards against the body of a request without a route that is buffered up to the limit.
+TEST_CASE_FIXTURE(CallerSessionFixture,
+                  "caller session, head is refused, answers before the body and closes")
+{
+    handler.doesRefuseHeads = true;
+    send("POST /none/ HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\nGET /p/ HTTP/1.1\r\n");
+    run();
+    REQUIRE(handler.pendingReply);
+    handler.respond();
+    send("Host: a\r\n\r\n");
+    run();
+    const auto [text, isEnded] = received();
+    CHECK(text.find("Connection: Close") != std::string::npos);
+    CHECK(isEnded);
+    CHECK(handler.targets == std::vector<std::string>{"/none/"});
+}
+
+// Guards against an incomplete request that keeps the memory which others need.
+TEST_CASE_FIXTURE(CallerSessionFixture,
+                  "caller session, budget exhausted by another, refuses the stalled request")
+{
+    send("POST /p/ HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\nhalf");
+    run();
+    BufferReservation other(context.buffers);
+    CHECK(other.resize(context.buffers.maxBytes(), clock.now() + 1000h));
+    run();
+    CHECK(handler.refusal == RefusalReason::MemoryLimit);
+    CHECK(received().first.starts_with("HTTP/1.1 503"));
+    CHECK(handler.targets.empty());
+}
+
+// Guards against a head that takes many times its size when it is parsed.
+TEST_CASE_FIXTURE(CallerSessionFixture, "caller session, too many fields, refuses the request")
+{
+    std::string head = "GET /p/ HTTP/1.1\r\nHost: a\r\n";
+    for (std::size_t i = 0; i < RequestReader::maxFields; ++i)
+        head += "a:b\r\n";
+    send(head + "\r\n");
+    run();
+    CHECK(handler.refusal == RefusalReason::HeaderTooLarge);
+    CHECK(received().first.starts_with("HTTP/1.1 431"));
+}
+
+// Guards against answers out of order.
+TEST_CASE_FIXTURE(CallerSessionFixture, "caller session, requests sent ahead, answers in order")
+{
+    send("GET /1/ HTTP/1.1\r\nHost: a\r\n\r\nGET /2/ HTTP/1.1\r\nHost: a\r\n\r\n");
+    run();
+    handler.respond();
+    run();
+    handler.respond();
+    run();
+    CHECK(handler.targets == std::vector<std::string>{"/1/", "/2/"});
+}
+
+// Guards against a request that runs although the caller sends it again: those behind a response
+// that closes the connection count as not read.
+TEST_CASE_FIXTURE(CallerSessionFixture,
+                  "caller session, requests sent ahead of a close, are not passed on")
+{
+    send("GET /1/ HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+         "POST /2/ HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+    run();
+    handler.respond();
+    run();
+    CHECK(received().second);
+    CHECK(handler.targets == std::vector<std::string>{"/1/"});
+}
+
 TEST_SUITE_END();
--- a/Tests/Crowd/Crowd.cpp
+++ b/Tests/Crowd/Crowd.cpp
@@ -21,8 +21,6 @@
 constexpr Duration sendIdleTime = 500ms;
 /** Maximum time of sending. */
 constexpr Duration maxSendTime = 8s;
-/** Maximum time of one ordinary request. */
-constexpr auto callTimeoutSeconds = 5;
 /** Number of times that an ordinary caller tries. */
 constexpr int maxTries = 5;
 
@@ -92,15 +90,15 @@
         ::shutdown(it.socket.impl()->sockfd(), SHUT_WR);
 }
 
-unsigned call(const Endpoint &endpoint, std::string_view request)
+unsigned call(const Endpoint &endpoint, std::string_view request, long timeoutSeconds)
 {
     static constexpr std::string_view statusLineStart = "HTTP/1.1 ";
     constexpr std::size_t statusDigits = 3;
     try {
         StreamSocket socket;
         socket.connect(SocketAddress(endpoint.host, endpoint.port), Poco::Timespan(1, 0));
-        socket.setReceiveTimeout(Poco::Timespan(callTimeoutSeconds, 0));
-        socket.setSendTimeout(Poco::Timespan(callTimeoutSeconds, 0));
+        socket.setReceiveTimeout(Poco::Timespan(timeoutSeconds, 0));
+        socket.setSendTimeout(Poco::Timespan(timeoutSeconds, 0));
         std::string text;
         for (auto rest = request; !rest.empty();) {
             const auto sent = socket.sendBytes(rest.data(), static_cast<int>(rest.size()));
@@ -121,11 +119,11 @@
     }
 }
 
-bool isServed(const Endpoint &endpoint, std::string_view request)
+bool isServed(const Endpoint &endpoint, std::string_view request, long timeoutSeconds)
 {
     constexpr unsigned ok = 200;
     for (int i = 0; i < maxTries; ++i) {
-        if (call(endpoint, request) == ok)
+        if (call(endpoint, request, timeoutSeconds) == ok)
             return true;
         std::this_thread::sleep_for(100ms);
     }
--- a/Tests/Crowd/Crowd.h
+++ b/Tests/Crowd/Crowd.h
@@ -10,6 +10,9 @@
 
 namespace Sapphireladder::CrowdTests {
 
+/** Maximum time of one ordinary request. */
+constexpr long callTimeoutSeconds = 5;
+
 /** Connections of callers that send what they are told and read nothing unless asked to. */
 class Crowd
 {
@@ -51,9 +54,11 @@
 };
 
 /** @return the status of the response to a request on a new connection, or 0 if there is none. */
-unsigned call(const Endpoint &endpoint, std::string_view request);
+unsigned call(const Endpoint &endpoint, std::string_view request,
+              long timeoutSeconds = callTimeoutSeconds);
 
 /** Repeats a request on new connections, a few times at most. @return whether it got a 200. */
-bool isServed(const Endpoint &endpoint, std::string_view request);
+bool isServed(const Endpoint &endpoint, std::string_view request,
+              long timeoutSeconds = callTimeoutSeconds);
 
 } // namespace Sapphireladder::CrowdTests
--- a/Tests/Crowd/CrowdFixture.cpp
+++ b/Tests/Crowd/CrowdFixture.cpp
@@ -38,14 +38,14 @@
                                                       : std::string("small"));
 }
 
-std::string makeRoutes()
+std::string makeRoutes(const CrowdLimits &limits)
 {
     auto paths = json::array();
     for (const auto *prefix : {"/small/", "/large/"})
         paths.push_back({{"name", prefix},
                          {"prefix", prefix},
                          {"kind", "safe"},
-                         {"timeout_ms", 4000},
+                         {"timeout_ms", limits.timeoutMs},
                          {"target_latency_ms", 200},
                          {"priority", 1},
                          {"max_attempts", 2},
@@ -54,7 +54,7 @@
     return json{{"version", 1},
                 {"services", json::array({service})},
                 {"limits",
-                 {{"max_body_bytes", maxBodyBytes},
+                 {{"max_body_bytes", limits.maxBodyBytes},
                   {"max_header_bytes", maxHeadBytes},
                   {"header_timeout_ms", 60000},
                   {"idle_timeout_ms", 60000}}},
@@ -93,15 +93,16 @@
            + fields + "\r\n";
 }
 
-CrowdFixture::CrowdFixture()
-    : m_target({"127.0.0.1", 0}, respond)
+CrowdFixture::CrowdFixture(const CrowdLimits &limits)
+    : m_limits(limits)
+    , m_target({"127.0.0.1", 0}, respond)
 {
-    m_store.put("op", "config", makeRoutes());
+    m_store.put("op", "config", makeRoutes(limits));
     m_store.put("servers", "i-0", makeRegistration(m_target.endpoint()));
     m_gateway = std::make_unique<Soak::SoakGateway>(Soak::SoakGatewaySettings{
             .vm = "vm-0",
             .store = m_store.endpoint(),
-            .extraSettings = "memory_mb: " + std::to_string(memoryMebibytes)
+            .extraSettings = "memory_mb: " + std::to_string(limits.memoryMebibytes)
                              + "\nmax_descriptors: " + std::to_string(maxDescriptors) + "\n",
             .descriptorLimit = maxDescriptors});
     const SteadyClock clock;
@@ -145,7 +146,7 @@
     const auto peak = statusKibibytes("VmHWM");
     MESSAGE("peak resident memory in KiB: " << peak << ", open descriptors: " << openDescriptors());
     CHECK(peak > 0);
-    CHECK(peak < memoryMebibytes * kibibyte);
+    CHECK(peak < m_limits.memoryMebibytes * kibibyte);
     CHECK(openDescriptors() <= maxDescriptors);
     REQUIRE(m_gateway->process().isRunning());
 }
--- a/Tests/Crowd/CrowdFixture.h
+++ b/Tests/Crowd/CrowdFixture.h
@@ -19,11 +19,19 @@
 /** Body of the target's answers at "/large/". */
 constexpr std::size_t largeAnswerBytes = mebibyte;
 
+/** Limits of a gateway under test. */
+struct CrowdLimits
+{
+    std::size_t memoryMebibytes = CrowdTests::memoryMebibytes;
+    std::size_t maxBodyBytes = CrowdTests::maxBodyBytes;
+    unsigned timeoutMs = 4000;
+};
+
 /** A gateway process with small limits, a store and a target. */
 class CrowdFixture
 {
 public:
-    CrowdFixture();
+    explicit CrowdFixture(const CrowdLimits &limits = {});
 
     const Endpoint &callers() const { return m_gateway->endpoint(); }
     const Endpoint &ready() const { return m_gateway->readyEndpoint(); }
@@ -38,6 +46,7 @@
     /** @return a value in KiB from the status of the process. */
     std::size_t statusKibibytes(const std::string &name);
 
+    const CrowdLimits m_limits;
     Soak::FakeStore m_store;
     Testbed::TestHttpServer m_target;
     std::unique_ptr<Soak::SoakGateway> m_gateway;
--- a/Tests/Crowd/CrowdTest.cpp
+++ b/Tests/Crowd/CrowdTest.cpp
@@ -223,4 +223,33 @@
     checkReleased();
 }
 
+/** A gateway with the smallest memory and the largest body of the users' platform. */
+struct SmallVmFixture : CrowdFixture
+{
+    static constexpr std::size_t largestBodyBytes = 64 * mebibyte;
+
+    SmallVmFixture()
+        : CrowdFixture(
+                {.memoryMebibytes = 160, .maxBodyBytes = largestBodyBytes, .timeoutMs = 60000})
+    {}
+};
+
+// Guards against limits that refuse, in calm, a request which the pages allow, and against a body
+// that is held more than once: with its copy for the target it would exceed the memory.
+TEST_CASE_FIXTURE(SmallVmFixture, "single caller, largest legal body, is served within the memory")
+{
+    const std::string body(largestBodyBytes, 'b');
+    const std::string patient = "Deadline-Ms: 60000\r\n";
+    const std::string head = "POST /small/ HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: a3\r\n"
+                             + patient;
+    constexpr long timeoutSeconds = 60;
+    CHECK(isServed(callers(),
+                   head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
+                   timeoutSeconds));
+    CHECK(isServed(callers(),
+                   head + "Transfer-Encoding: chunked\r\n\r\n4000000\r\n" + body + "\r\n0\r\n\r\n",
+                   timeoutSeconds));
+    checkHolds();
+}
+
 TEST_SUITE_END();
