Process: Decide allowances over all VMs by delegated shares

A workspace's limit holds for all VMs together, which neither know each other nor agree. Each VM owns one share of every limit and delegates it for 2 s to a collector, which grants tokens from the shares that it holds.

--- a/Source/Process/Process.h
+++ b/Source/Process/Process.h
@@ -4,6 +4,11 @@
 
 #include "Process/AdmissionControl.h"
 #include "Process/AdmissionQueue.h"
+#include "Process/AllowanceClient.h"
+#include "Process/AllowanceCollector.h"
+#include "Process/AllowanceDelegation.h"
+#include "Process/AllowanceMessages.h"
+#include "Process/AllowancePool.h"
 #include "Process/ControlMessage.h"
 #include "Process/ControlState.h"
 #include "Process/ControlTraffic.h"
