Process/Loop, Main: Carry allowances over UDP between the VMs

The collector listens on the port after that of the relay, on the control thread; the client is the traffic thread's AllowanceGate in place of the unlimited one.

--- a/Source/Core/RandomSource.h
+++ b/Source/Core/RandomSource.h
@@ -19,6 +19,8 @@
 
     /** @param bound at least 1 @return a uniformly distributed integer in [0, bound). */
     std::size_t below(std::size_t bound);
+    /** @return 64 random bits. */
+    std::uint64_t bits() { return m_engine(); }
     /** @return a uniformly distributed number in [0, 1). */
     double unit();
     /** @return 128 random bits as 32 hexadecimal digits, used for identifiers. */
--- a/Source/Main/GatewayProcess.cpp
+++ b/Source/Main/GatewayProcess.cpp
@@ -42,6 +42,7 @@
     , m_control(m_gateway, log, m_clock)
     , m_store(Platform::createStore(m_controlContext, settings.platformEndpoint))
     , m_translator(Platform::createRowTranslator())
+    , m_allowanceServer(m_controlContext, m_control, settings)
     , m_session(m_controlContext, *m_store, *m_translator, m_control, log, settings)
     , m_signals(m_controlIo, SIGTERM, SIGINT, SIGHUP)
     , m_flushTimer(m_controlIo)
@@ -64,6 +65,7 @@
     m_log.setPendingHandler(
             [this] { boost::asio::post(m_controlIo, [this] { scheduleFlush(); }); });
     TRY(m_gateway.listen());
+    TRY(m_allowanceServer.listen());
     m_log.record(EventId::ProcessStarted, {{"vm", m_settings.vm.string()},
                                            {"zone", m_settings.zone.string()},
                                            {"callers", m_settings.callerEndpoint.toString()},
@@ -122,6 +124,7 @@
         return;
     m_settings = *settings;
     m_gateway.reconfigure(*settings);
+    m_allowanceServer.reconfigure(*settings);
 }
 
 void GatewayProcess::scheduleFlush()
@@ -184,6 +187,7 @@
 {
     m_log.record(EventId::ProcessStopped, {{"why", std::string(reason)}});
     m_session.stop();
+    m_allowanceServer.close();
     boost::asio::post(m_trafficIo, [this] {
         m_gateway.closeAll();
         m_trafficIo.stop();
--- a/Source/Main/GatewayProcess.h
+++ b/Source/Main/GatewayProcess.h
@@ -56,6 +56,7 @@
     GatewayControl m_control;
     std::unique_ptr<PlatformStore> m_store;
     std::unique_ptr<RowTranslator> m_translator;
+    AllowanceServer m_allowanceServer;
     PlatformSession m_session;
     boost::asio::signal_set m_signals;
     LoopTimer m_flushTimer;
--- a/Source/Process/AllowanceMessages.h
+++ b/Source/Process/AllowanceMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Process/AllowancePool.h"
+#include "Process/GatewaySettings.h"
 
 #include <cstdint>
 #include <string>
@@ -78,4 +79,9 @@
  * states, by the owner's clock from the sending, which is later. */
 constexpr Duration delegationTime = std::chrono::seconds(2);
 
+/** @return where the collector of a VM gets its messages: the port after that of its relay. */
+Endpoint allowanceEndpoint(const Endpoint &relayEndpoint);
+/** @return the part of the settings that the allowances depend on. */
+AllowancePolicy allowancePolicyOf(const GatewaySettings &settings);
+
 } // namespace Sapphireladder
--- a/Source/Process/AllowancePool.cpp
+++ b/Source/Process/AllowancePool.cpp
@@ -34,6 +34,16 @@
     return {std::min(workspace.requestsPerSecond, (tokens - capacity) / seconds), capacity};
 }
 
+Endpoint allowanceEndpoint(const Endpoint &relayEndpoint)
+{
+    return {relayEndpoint.host, static_cast<std::uint16_t>(relayEndpoint.port + 1)};
+}
+
+AllowancePolicy allowancePolicyOf(const GatewaySettings &settings)
+{
+    return {settings.allowanceWindow, settings.allowanceExcess, settings.allowanceSlack};
+}
+
 void AllowancePool::setWorkspaces(std::span<const Workspace> workspaces,
                                   const AllowancePolicy &policy, TimePoint now)
 {
--- a/Source/Process/GatewayControl.cpp
+++ b/Source/Process/GatewayControl.cpp
@@ -128,6 +128,17 @@
     m_isDirty = true;
 }
 
+void GatewayControl::relaysReceived(std::span<const Endpoint> relays)
+{
+    std::vector<Endpoint> collectors;
+    for (const auto &it : relays)
+        collectors.push_back(allowanceEndpoint(it));
+    if (collectors == m_allowanceCollectors)
+        return;
+    m_allowanceCollectors = std::move(collectors);
+    m_isDirty = true;
+}
+
 void GatewayControl::dependencyFailed(Dependency dependency, const Error &error)
 {
     auto &state = m_dependencies[static_cast<std::size_t>(dependency)];
@@ -169,6 +180,7 @@
     snapshot->freshness = m_freshness;
     snapshot->targets = m_directory.records();
     snapshot->fleetSize = m_fleetSize;
+    snapshot->allowanceCollectors = m_allowanceCollectors;
     snapshot->hasReadTargets = m_hasReadTargets;
     m_sink.publish(std::move(snapshot));
 }
--- a/Source/Process/GatewayControl.h
+++ b/Source/Process/GatewayControl.h
@@ -49,12 +49,15 @@
     void targetRejected(const TargetId &id, const Error &error) override;
     void changesComplete() override;
     void fleetSizeReceived(unsigned vms) override;
+    void relaysReceived(std::span<const Endpoint> relays) override;
     void dependencyFailed(Dependency dependency, const Error &error) override;
     void dependencyResponded(Dependency dependency) override;
 
     /** Performs what is due. @return when to call again, or nothing. */
     std::optional<TimePoint> tick();
 
+    /** @return the routes in force; null before the first are known. */
+    const std::shared_ptr<const RouteTable> &routes() const { return m_routes; }
     const GatewayControlCounters &counters() const { return m_counters; }
 
 private:
@@ -81,6 +84,7 @@
     std::map<TargetId, std::string> m_rejectedRecords;
     std::array<DependencyState, static_cast<std::size_t>(Dependency::Count)> m_dependencies;
     unsigned m_fleetSize = assumedFleetSize;
+    std::vector<Endpoint> m_allowanceCollectors;
     bool m_hasReadTargets = false;
     /** Whether anything changed since the last snapshot. */
     bool m_isDirty = false;
--- a/Source/Process/GatewaySnapshot.h
+++ b/Source/Process/GatewaySnapshot.h
@@ -19,6 +19,8 @@
     std::vector<TargetRecord> targets;
     /** Upper estimate of the number of running VMs, including this one. */
     unsigned fleetSize = 1;
+    /** Where the collectors of allowances get messages, in an order that is the same on all VMs. */
+    std::vector<Endpoint> allowanceCollectors;
     /** Whether the target registry has been read since the start. */
     bool hasReadTargets = false;
     /** Until when the routes and targets are complete. Null if no table was received. */
--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -36,6 +36,7 @@
     , m_settings(std::move(settings))
     , m_random(RandomSource::fromSystem())
     , m_snapshot(std::make_shared<GatewaySnapshot>())
+    , m_allowances(m_context, events, m_settings)
     , m_readyHandler({{"/ready", [this] { return readiness(); }}})
     , m_metricsHandler({{"/metrics", [this] { return textResponse(metricsText()); }}})
     , m_callerListener(m_context, [this](TcpSocket socket) { accept(std::move(socket), *this); })
@@ -68,6 +69,7 @@
         m_settings.retrySlack = settings.retrySlack;
         m_settings.retryWindow = settings.retryWindow;
         m_settings.loadProbesPerTargetPerSecond = settings.loadProbesPerTargetPerSecond;
+        m_allowances.reconfigure(settings);
         applySnapshot(m_snapshot);
     });
 }
@@ -76,6 +78,7 @@
 {
     const bool wasReady = std::holds_alternative<Response>(readiness());
     m_snapshot = std::move(snapshot);
+    m_allowances.update(*m_snapshot);
     std::map<TargetId, UpstreamEntry> entries;
     m_upstreamsByService.clear();
     for (const auto &it : m_snapshot->targets) {
@@ -298,11 +301,12 @@
     m_callerListener.close();
     m_readyListener.close();
     m_metricsListener.close();
+    m_allowances.close();
     for (const auto &[id, entry] : m_upstreamEntries)
         entry.upstream->closeIdle();
 }
 
-std::string Gateway::metricsText() const
+std::string Gateway::metricsText()
 {
     struct Row
     {
@@ -316,6 +320,8 @@
                                    : Duration::zero();
         return static_cast<std::uint64_t>(std::max<std::int64_t>(0, toMilliseconds(age)));
     };
+    const auto &allowances = m_allowances.client().counters();
+    constexpr double millionths = 1e6;
     const Row rows[] = {
             {"sapphireladder_routes_age_milliseconds", "gauge", ageMs(Dependency::RouteSource)},
             {"sapphireladder_targets_age_milliseconds", "gauge", ageMs(Dependency::TargetRegistry)},
@@ -332,6 +338,18 @@
             {"sapphireladder_targets_announced_leaving_total", "counter",
              m_upstreamCounters.leavingAnnounced},
             {"sapphireladder_target_pauses_total", "counter", m_upstreamCounters.pausesRequested},
+            {"sapphireladder_allowance_granted_total", "counter", allowances.granted},
+            {"sapphireladder_allowance_refused_total", "counter", allowances.refused},
+            {"sapphireladder_allowance_asked_total", "counter", allowances.asked},
+            {"sapphireladder_allowance_unanswered_total", "counter", allowances.unanswered},
+            {"sapphireladder_allowance_own_tokens_total", "counter", allowances.ownTokens},
+            {"sapphireladder_allowance_expired_tokens_total", "counter", allowances.expiredTokens},
+            {"sapphireladder_allowance_invalid_messages_total", "counter",
+             m_allowances.invalidMessages()},
+            {"sapphireladder_allowance_collectors", "gauge",
+             m_allowances.client().collectorCount()},
+            {"sapphireladder_allowance_delegated_share_millionths", "gauge",
+             static_cast<std::uint64_t>(m_allowances.client().delegatedShare() * millionths)},
             {"sapphireladder_abandoned_total", "counter", m_abandonedCount},
     };
     std::ostringstream out;
--- a/Source/Process/Loop/Gateway.h
+++ b/Source/Process/Loop/Gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Process/Loop/AllowanceLink.h"
 #include "Process/Loop/ConnectionListener.h"
 #include "Process/Loop/StatusHandler.h"
 #include "Process/Process.h"
@@ -62,7 +63,7 @@
     std::span<const std::shared_ptr<Upstream>> upstreams(const ServiceName &service) override;
     std::span<const std::shared_ptr<Upstream>>
     preferredUpstreams(const ServiceName &service) override;
-    AllowanceGate &allowances() override { return m_allowances; }
+    AllowanceGate &allowances() override { return m_allowances.gate(); }
     RetryTokens &retryTokens(const ServiceName &service) override;
     WeightedServiceSelector &serviceSelector(const Route &route) override;
     Duration expectedServiceTime(const Route &route) const override;
@@ -107,7 +108,7 @@
     void setProbeRate(Upstream &upstream, double fleetShare);
     RetryBudgetPolicy retryBudgetPolicy() const;
     RequestOutcome readiness() const;
-    std::string metricsText() const;
+    std::string metricsText();
     void accept(TcpSocket socket, RequestHandler &handler);
 
     LoopContext m_context;
@@ -124,7 +125,7 @@
     std::unordered_map<std::string, WeightedServiceSelector> m_serviceSelectors;
     /** Moving average of the service time, by route name. */
     std::unordered_map<std::string, Duration> m_serviceTimes;
-    UnlimitedAllowanceGate m_allowances;
+    AllowanceLink m_allowances;
     UpstreamCounters m_upstreamCounters;
     Metrics m_metrics;
     std::uint64_t m_abandonedCount = 0;
--- a/Source/Process/Loop/PlatformSession.cpp
+++ b/Source/Process/Loop/PlatformSession.cpp
@@ -292,6 +292,8 @@
 {
     m_fleet = std::move(list);
     m_plan.setFleet(m_fleet.members);
+    m_feed.relaysReceived(m_plan.rankedRelays());
+    m_feed.changesComplete();
     updateFleetSize(estimateFleetSize(m_fleet.members));
     supervise();
 }
@@ -312,6 +314,8 @@
     if (list && list->position > m_fleet.position && !m_isOwnEntryUnread) {
         m_fleet = *list;
         m_plan.setFleet(m_fleet.members);
+        m_feed.relaysReceived(m_plan.rankedRelays());
+        m_feed.changesComplete();
         scheduleSupervision(Duration::zero());
     }
     updateFleetSize(fleetSize);
--- a/Source/Process/Loop/ProcessLoop.h
+++ b/Source/Process/Loop/ProcessLoop.h
@@ -2,7 +2,11 @@
 
 /** @file Public header of the process-lifetime objects that run on an event loop. */
 
+#include "Process/Loop/AllowanceCodec.h"
+#include "Process/Loop/AllowanceLink.h"
+#include "Process/Loop/AllowanceServer.h"
 #include "Process/Loop/ConnectionListener.h"
+#include "Process/Loop/DatagramSocket.h"
 #include "Process/Loop/Gateway.h"
 #include "Process/Loop/PlatformSession.h"
 #include "Process/Loop/RelayCodec.h"
--- a/Source/Process/PlatformFeed.h
+++ b/Source/Process/PlatformFeed.h
@@ -57,6 +57,8 @@
     virtual void changesComplete() = 0;
     /** The size of the fleet changed. @param vms upper estimate of the number of running VMs */
     virtual void fleetSizeReceived(unsigned vms) = 0;
+    /** The VMs that can relay changes. The endpoints are ordered, best suited first. */
+    virtual void relaysReceived(std::span<const Endpoint>) {}
     /** A call to a dependency failed. Called for each failure. */
     virtual void dependencyFailed(Dependency dependency, const Error &error) = 0;
     /** A call to a dependency succeeded. Called for each success. */
--- a/Source/Process/RelayPlan.cpp
+++ b/Source/Process/RelayPlan.cpp
@@ -105,6 +105,18 @@
     return others;
 }
 
+std::vector<Endpoint> RelayPlan::rankedRelays() const
+{
+    std::vector<Endpoint> relays;
+    std::set<ZoneName> zones;
+    for (const auto &it : m_ranked) {
+        const bool isFirstOfZone = zones.insert(it.zone).second;
+        if (relays.size() < minRankedRelays || isFirstOfZone)
+            relays.push_back(it.relayEndpoint);
+    }
+    return relays;
+}
+
 void RelayPlan::sortByPreference(std::vector<FleetMember> &readers) const
 {
     const auto remote = std::stable_partition(
--- a/Source/Process/RelayPlan.h
+++ b/Source/Process/RelayPlan.h
@@ -42,6 +42,8 @@
      * then the likely cause, and each VM that receives a request calls the store too.
      */
     static constexpr std::size_t maxFailingVms = 6;
+    /** VMs returned by rankedRelays(), without those that represent a zone. */
+    static constexpr std::size_t minRankedRelays = 4;
     /** How long a VM is excluded after a failure. */
     static constexpr Duration failureRetention = std::chrono::seconds(8);
 
@@ -59,6 +61,11 @@
     std::vector<VmId> failingVms(TimePoint now) const;
     /** @return the current role of this VM. */
     RelayRole role(TimePoint now) const;
+    /**
+     * @return the endpoints of some VMs in an order that is the same on every VM with the same
+     * list: those with the most cores, and at least one in each availability zone.
+     */
+    std::vector<Endpoint> rankedRelays() const;
     /** @return other readers, for a reader that has lost the store. */
     std::vector<FleetMember> otherReaders(TimePoint now) const;
 
