Request: Decide when and where slow attempts are hedged

A few attempts take many times their usual time, and an idempotent request was hedged only just before its deadline, when its answer is late anyway. A target search can be limited to idle targets.

--- a/Source/Process/Metrics.cpp
+++ b/Source/Process/Metrics.cpp
@@ -100,6 +100,12 @@
     writeReasonCounters(out, "sapphireladder_retries_total", "Retried attempts.", m_retries);
     writeReasonCounters(out, "sapphireladder_retries_denied_total",
                         "Failed attempts that were not retried.", m_denials);
+    writeCounter(out, "sapphireladder_hedges_total", "Attempts sent beside slow ones.",
+                 m_hedges.load(std::memory_order_relaxed));
+    writeCounter(out, "sapphireladder_hedges_won_total", "Hedges that responded first.",
+                 m_hedgesWon.load(std::memory_order_relaxed));
+    writeReasonCounters(out, "sapphireladder_hedges_denied_total", "Hedges that were not sent.",
+                        m_hedgeDenials);
     writeCounter(out, "sapphireladder_older_versions_total",
                  "Reported preset versions lower than the one applied.",
                  m_olderVersions.load(std::memory_order_relaxed));
--- a/Source/Process/Metrics.h
+++ b/Source/Process/Metrics.h
@@ -53,6 +53,9 @@
 public:
     void retried(RetryReason reason) override { m_retries.increment(reason); }
     void retryDenied(RetryDenial denial) override { m_denials.increment(denial); }
+    void hedged() override { m_hedges.fetch_add(1, std::memory_order_relaxed); }
+    void hedgeWon() override { m_hedgesWon.fetch_add(1, std::memory_order_relaxed); }
+    void hedgeDenied(HedgeDenial denial) override { m_hedgeDenials.increment(denial); }
 
     /** Counts an outcome that was returned to a caller. */
     void recordOutcome(const RequestOutcome &outcome, Duration latency);
@@ -83,6 +86,9 @@
     ReasonCounters<UnknownReason> m_unknowns;
     ReasonCounters<RetryReason> m_retries;
     ReasonCounters<RetryDenial> m_denials;
+    std::atomic<std::uint64_t> m_hedges{0};
+    std::atomic<std::uint64_t> m_hedgesWon{0};
+    ReasonCounters<HedgeDenial> m_hedgeDenials;
     LatencyHistogram m_latency;
     ControlTraffic m_controlTraffic;
 };
--- a/Source/Request/Reasons.cpp
+++ b/Source/Request/Reasons.cpp
@@ -54,6 +54,11 @@
         "not-idempotent", "budget-empty", "deadline-near", "attempt-limit", "attempt-mark",
 };
 
+constexpr NameTable<HedgeDenial> hedgeDenialNames = {
+        "too-few-samples",  "objective-near",    "ratio-reached",
+        "retry-budget-low", "allowance-used-up", "no-idle-target",
+};
+
 } // namespace
 
 std::string_view nameOf(RefusalReason reason)
@@ -76,4 +81,9 @@
     return denialNames.at(static_cast<std::size_t>(denial));
 }
 
+std::string_view nameOf(HedgeDenial denial)
+{
+    return hedgeDenialNames.at(static_cast<std::size_t>(denial));
+}
+
 } // namespace Sapphireladder
--- a/Source/Request/Reasons.h
+++ b/Source/Request/Reasons.h
@@ -100,10 +100,28 @@
     Count,
 };
 
+/** Why no hedge was sent beside an attempt. Each reason has a counter. */
+enum class HedgeDenial : std::uint8_t {
+    /** Too few latencies of the route are known. */
+    TooFewSamples,
+    /** A hedge would start too late for the latency objective, or too early for few hedges. */
+    ObjectiveNear,
+    /** The configured share of requests has been hedged. */
+    RatioReached,
+    /** What is left of the retry budget is kept for retries. */
+    RetryBudgetLow,
+    /** The workspace has no allowance left at this VM. */
+    AllowanceUsedUp,
+    /** No other target reports itself as idle. */
+    NoIdleTarget,
+    Count,
+};
+
 /** @return the reason's name in metrics and in the Sapphireladder-Reason header. */
 std::string_view nameOf(RefusalReason reason);
 std::string_view nameOf(UnknownReason reason);
 std::string_view nameOf(RetryReason reason);
 std::string_view nameOf(RetryDenial denial);
+std::string_view nameOf(HedgeDenial denial);
 
 } // namespace Sapphireladder
--- a/Source/Request/RequestInterfaces.h
+++ b/Source/Request/RequestInterfaces.h
@@ -99,6 +99,11 @@
     virtual ~RequestObserver() = default;
     virtual void retried(RetryReason reason) = 0;
     virtual void retryDenied(RetryDenial denial) = 0;
+    /** A hedge was sent. */
+    virtual void hedged() = 0;
+    /** The response of a hedge was the first. */
+    virtual void hedgeWon() = 0;
+    virtual void hedgeDenied(HedgeDenial denial) = 0;
 };
 
 } // namespace Sapphireladder
--- a/Source/Request/TargetSearch.cpp
+++ b/Source/Request/TargetSearch.cpp
@@ -34,6 +34,8 @@
 {
     if (m_candidates.empty())
         return RefuseStep{RefusalReason::NoUsableTarget};
+    if (m_policy.requiresIdleTarget && areFreeSlotsRare(now))
+        return RefuseStep{RefusalReason::QueueFull};
     if (const auto best = findBest(now, m_policy.currentReportMaxAge);
         best && costOf(*best, now) <= m_policy.immediateSendCost)
         return SendStep{*best};
@@ -110,6 +112,8 @@
 
 SearchStep TargetSearch::decideAfterProbing(TimePoint now)
 {
+    if (m_policy.requiresIdleTarget)
+        return RefuseStep{RefusalReason::QueueFull};
     auto choice = findBest(now, m_policy.currentReportMaxAge);
     const bool hasAnswer = std::find(m_probeStates.begin(), m_probeStates.end(),
                                      ProbeState::Answered)
@@ -180,6 +184,8 @@
 
 bool TargetSearch::hasFreeSlot(const TargetStats &stats, TimePoint now) const
 {
+    if (m_policy.requiresIdleTarget)
+        return 2 * stats.expectedLoad(now) < stats.slots();
     const unsigned reserved = now < m_timeLimits.reservesSlotUntil ? 1 : 0;
     return stats.expectedLoad(now) + reserved < std::max(stats.slots(), reserved + 1);
 }
--- a/Source/Request/TargetSearch.h
+++ b/Source/Request/TargetSearch.h
@@ -51,6 +51,9 @@
     std::size_t maxProbesPerPass = 9;
     /** Pause between two passes while all targets are too busy. */
     Duration passInterval = std::chrono::milliseconds(20);
+    /** Refuses after one pass unless a target with less than half of its slots busy and without a
+     * slowdown is found. Probes nothing while free slots are rare. */
+    bool requiresIdleTarget = false;
 };
 
 /** Time limits of one request. */
--- a/Source/Request/WindowedRetryBudget.cpp
+++ b/Source/Request/WindowedRetryBudget.cpp
@@ -22,7 +22,19 @@
     return true;
 }
 
-double WindowedRetryBudget::availableRetries()
+double WindowedRetryBudget::availableRetries() const
+{
+    const auto [limit, retries] = usage();
+    return limit - retries;
+}
+
+bool WindowedRetryBudget::hasSpareRetry(double reservedShare) const
+{
+    const auto [limit, retries] = usage();
+    return retries + 1.0 <= limit * (1.0 - reservedShare);
+}
+
+WindowedRetryBudget::Usage WindowedRetryBudget::usage() const
 {
     const auto now = currentBucketIndex();
     double requests = 0;
@@ -36,7 +48,7 @@
             requests += it.requests;
     }
     const double slackShare = m_policy.slack / std::max(1U, m_policy.fleetSize);
-    return usableShare * (m_policy.ratio * requests + slackShare) - retries;
+    return {usableShare * (m_policy.ratio * requests + slackShare), retries};
 }
 
 std::int64_t WindowedRetryBudget::currentBucketIndex() const
--- a/Source/Request/WindowedRetryBudget.h
+++ b/Source/Request/WindowedRetryBudget.h
@@ -38,7 +38,9 @@
     void recordFirstAttempt() override;
     bool takeRetry() override;
     /** @return retries that are allowed now. */
-    double availableRetries();
+    double availableRetries() const;
+    /** @return whether a retry now leaves this share of the limit unused. */
+    bool hasSpareRetry(double reservedShare) const;
 
 private:
     /** Buckets of the window. Retries are counted over one bucket more than requests, so that the
@@ -53,6 +55,15 @@
         unsigned retries = 0;
     };
 
+    struct Usage
+    {
+        /** Retries allowed in the window. */
+        double limit = 0;
+        /** Retries made in the window. */
+        double retries = 0;
+    };
+
+    Usage usage() const;
     std::int64_t currentBucketIndex() const;
     Bucket &currentBucket();
 
--- a/Tests/Request/TargetSearchTest.cpp
+++ b/Tests/Request/TargetSearchTest.cpp
@@ -299,4 +299,64 @@
     CHECK(std::holds_alternative<SendStep>(next(it)));
 }
 
+// Guards against a hedge that takes the last slot of a target, or waits for one.
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, requires an idle target, refuses half full")
+{
+    policy.requiresIdleTarget = true;
+    auto it = search(5s);
+    const auto step = answerAllProbes(it, 1, 1.0);
+    CHECK(std::holds_alternative<RefuseStep>(step));
+    CHECK(it.probeCount() <= policy.maxProbesPerPass);
+}
+
+// Guards against a hedge to a target whose host is slowed.
+TEST_CASE_FIXTURE(TargetSearchFixture,
+                  "target search, requires an idle target, refuses slowed ones")
+{
+    policy.requiresIdleTarget = true;
+    auto it = search(5s);
+    CHECK(std::holds_alternative<RefuseStep>(answerAllProbes(it, 0, 4.0)));
+}
+
+// Guards against a hedge to a target that nothing current is known of.
+TEST_CASE_FIXTURE(TargetSearchFixture,
+                  "target search, requires an idle target, refuses old reports")
+{
+    policy.requiresIdleTarget = true;
+    reportAllAndExhaustBudget(0);
+    clock.advance(policy.currentReportMaxAge + 1ms);
+    auto it = search(5s);
+    CHECK(std::holds_alternative<RefuseStep>(next(it)));
+}
+
+// Guards against a hedge to a cold target, which a second request could bring down.
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, requires an idle target, refuses cold ones")
+{
+    policy.requiresIdleTarget = true;
+    for (auto &[i, it] : stats)
+        it.setWarmupEnd(clock.now() + 10s);
+    auto it = search(5s);
+    CHECK(std::holds_alternative<RefuseStep>(answerAllProbes(it, 0, 1.0)));
+}
+
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, requires an idle target, sends to it")
+{
+    policy.requiresIdleTarget = true;
+    auto it = search(5s);
+    CHECK(std::holds_alternative<SendStep>(answerAllProbes(it, 0, 1.0)));
+}
+
+// Load: overload. Guards against probes for hedges while requests compete for few slots.
+TEST_CASE_FIXTURE(TargetSearchFixture,
+                  "target search, requires an idle target and slots are rare, probes nothing")
+{
+    policy.requiresIdleTarget = true;
+    for (auto &[i, it] : stats)
+        it.loadReported({2, 2, 0, 1.0}, true, clock.now());
+    clock.advance(policy.currentReportMaxAge + 1ms);
+    auto it = search(5s);
+    CHECK(std::holds_alternative<RefuseStep>(next(it)));
+    CHECK(it.probeCount() == 0);
+}
+
 TEST_SUITE_END();
