Gateway: Hedge slow idempotent attempts within hedge_ratio

A caller waited for a straggler while other targets were idle. Past the planned delay, a second attempt now goes to an idle target that was not tried; the first response ends the request, and the other connection is closed without counting its target as failed. While a hedge goes on, the failure of the other attempt starts no third one. The setting hedge_ratio, 0 by default, switches it on.

The attempts in progress and the hedge are classes of their own now. The stall limit has its own timer, since a search for a hedge may be waiting when it passes.

--- a/Source/Core/Event.cpp
+++ b/Source/Core/Event.cpp
@@ -31,6 +31,7 @@
         {EventId::RequestAbandoned, Severity::Info, "request-abandoned"},
         {EventId::RequestWaits, Severity::Info, "request-waits"},
         {EventId::RequestStalled, Severity::Info, "request-stalled"},
+        {EventId::RequestHedged, Severity::Info, "request-hedged"},
         {EventId::LogLinesDropped, Severity::Warning, "log-lines-dropped"},
         {EventId::TargetEjected, Severity::Warning, "target-ejected"},
         {EventId::TargetReinstated, Severity::Info, "target-reinstated"},
--- a/Source/Core/Event.h
+++ b/Source/Core/Event.h
@@ -39,6 +39,7 @@
     RequestAbandoned = 315,
     RequestWaits = 316,
     RequestStalled = 317,
+    RequestHedged = 318,
     LogLinesDropped = 390,
     TargetEjected = 400,
     TargetReinstated = 401,
--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -25,6 +25,16 @@
 constexpr double initialServiceTimeShare = 0.4;
 /** Weight of a new sample in the moving average of a route's service time. */
 constexpr double serviceTimeSampleWeight = 0.05;
+/** Load probes in one search for the target of a hedge. */
+constexpr std::size_t maxProbesPerHedge = 4;
+
+SearchPolicy hedgeSearchPolicyOf(SearchPolicy policy)
+{
+    policy.nextRoundSize = policy.firstRoundSize;
+    policy.maxProbesPerPass = maxProbesPerHedge;
+    policy.requiresIdleTarget = true;
+    return policy;
+}
 
 } // namespace
 
@@ -35,7 +45,9 @@
     , m_events(events)
     , m_settings(std::move(settings))
     , m_random(RandomSource::fromSystem())
+    , m_hedgeSearchPolicy(hedgeSearchPolicyOf(m_searchPolicy))
     , m_snapshot(std::make_shared<GatewaySnapshot>())
+    , m_hedges(clock)
     , m_readyHandler({{"/ready", [this] { return readiness(); }}})
     , m_metricsHandler({{"/metrics", [this] { return textResponse(metricsText()); }}})
     , m_callerListener(m_context, [this](TcpSocket socket) { accept(std::move(socket), *this); })
@@ -43,7 +55,9 @@
                       [this](TcpSocket socket) { accept(std::move(socket), m_readyHandler); })
     , m_metricsListener(m_context,
                         [this](TcpSocket socket) { accept(std::move(socket), m_metricsHandler); })
-{}
+{
+    m_hedges.setPolicy(hedgeBudgetPolicy());
+}
 
 Gateway::~Gateway() = default;
 
@@ -68,6 +82,8 @@
         m_settings.retrySlack = settings.retrySlack;
         m_settings.retryWindow = settings.retryWindow;
         m_settings.loadProbesPerTargetPerSecond = settings.loadProbesPerTargetPerSecond;
+        m_settings.hedgeRatio = settings.hedgeRatio;
+        m_hedges.setPolicy(hedgeBudgetPolicy());
         applySnapshot(m_snapshot);
     });
 }
@@ -101,6 +117,7 @@
     }
     m_upstreamEntries = std::move(entries);
     m_eligibilities.prune(m_context.clock.now());
+    m_hedges.prune();
     for (auto &[name, budget] : m_retryBudgets)
         budget.setPolicy(retryBudgetPolicy());
     if (!wasReady && std::holds_alternative<Response>(readiness()))
@@ -198,10 +215,25 @@
 }
 
 RetryTokens &Gateway::retryTokens(const ServiceName &service)
+{
+    return retryBudget(service);
+}
+
+WindowedRetryBudget &Gateway::retryBudget(const ServiceName &service)
 {
     return m_retryBudgets.try_emplace(service, retryBudgetPolicy(), m_context.clock).first->second;
 }
 
+HedgeBudgetPolicy Gateway::hedgeBudgetPolicy() const
+{
+    return {.ratio = m_settings.hedgeRatio, .window = m_settings.retryWindow};
+}
+
+HedgeBudget &Gateway::hedgeBudget(const ServiceName &service)
+{
+    return m_hedges.budget(service, retryBudget(service));
+}
+
 WeightedServiceSelector &Gateway::serviceSelector(const Route &route)
 {
     return m_serviceSelectors.try_emplace(route.name, m_random.unit()).first->second;
@@ -221,6 +253,7 @@
     m_serviceTimes[route.name] = estimate
                                  + duration_cast<Duration>((serviceTime - estimate)
                                                            * serviceTimeSampleWeight);
+    m_hedges.recordLatency(route, serviceTime);
 }
 
 void Gateway::recordOutcome(const RequestOutcome &outcome, Duration latency)
--- a/Source/Process/Loop/Gateway.h
+++ b/Source/Process/Loop/Gateway.h
@@ -67,6 +67,10 @@
     WeightedServiceSelector &serviceSelector(const Route &route) override;
     Duration expectedServiceTime(const Route &route) const override;
     void recordServiceTime(const Route &route, Duration serviceTime) override;
+    bool isHedgingEnabled() const override { return m_hedges.isEnabled(); }
+    const SearchPolicy &hedgeSearchPolicy() const override { return m_hedgeSearchPolicy; }
+    LatencyWindow &latencies(const Route &route) override { return m_hedges.latencies(route); }
+    HedgeBudget &hedgeBudget(const ServiceName &service) override;
     RequestObserver &observer() override { return m_metrics; }
     void recordOutcome(const RequestOutcome &outcome, Duration latency) override;
     void recordAbandoned() override { ++m_abandonedCount; }
@@ -106,6 +110,8 @@
     void selectPreferred(ServiceUpstreams &upstreams);
     void setProbeRate(Upstream &upstream, double fleetShare);
     RetryBudgetPolicy retryBudgetPolicy() const;
+    WindowedRetryBudget &retryBudget(const ServiceName &service);
+    HedgeBudgetPolicy hedgeBudgetPolicy() const;
     RequestOutcome readiness() const;
     std::string metricsText() const;
     void accept(TcpSocket socket, RequestHandler &handler);
@@ -116,6 +122,7 @@
     GatewaySettings m_settings;
     RandomSource m_random;
     SearchPolicy m_searchPolicy;
+    SearchPolicy m_hedgeSearchPolicy;
     std::shared_ptr<const GatewaySnapshot> m_snapshot;
     TargetEligibilityTable m_eligibilities;
     std::map<TargetId, UpstreamEntry> m_upstreamEntries;
@@ -124,6 +131,7 @@
     std::unordered_map<std::string, WeightedServiceSelector> m_serviceSelectors;
     /** Moving average of the service time, by route name. */
     std::unordered_map<std::string, Duration> m_serviceTimes;
+    HedgeTable m_hedges;
     UnlimitedAllowanceGate m_allowances;
     UpstreamCounters m_upstreamCounters;
     Metrics m_metrics;
--- a/Source/Process/Process.h
+++ b/Source/Process/Process.h
@@ -16,6 +16,7 @@
 #include "Process/GatewayControl.h"
 #include "Process/GatewaySettings.h"
 #include "Process/GatewaySnapshot.h"
+#include "Process/HedgeTable.h"
 #include "Process/InputRefusalLog.h"
 #include "Process/Membership.h"
 #include "Process/Metrics.h"
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -49,6 +49,9 @@
     , m_callerMetadata(environment.headerCodec().callerMetadata(m_request.headers))
     , m_deadlineTimer(environment.context().io)
     , m_waitTimer(environment.context().io)
+    , m_stallTimer(environment.context().io)
+    , m_hedgeTimer(environment.context().io)
+    , m_hedge(environment)
 {}
 
 void ProxyExchange::start()
@@ -79,6 +82,8 @@
     const auto choice = m_environment.serviceSelector(*m_route).select(m_route->services);
     m_service = m_route->services[choice].service;
     m_environment.retryTokens(m_service).recordFirstAttempt();
+    if (m_environment.isHedgingEnabled())
+        m_environment.hedgeBudget(m_service).recordRequest();
     callAfter(m_deadlineTimer, weak_from_this(), m_deadline - m_environment.context().clock.now(),
               &ProxyExchange::deadlinePassed);
     if (!m_workspace || !m_workspace->isLimited()) {
@@ -148,8 +153,10 @@
         perform(RefuseStep{RefusalReason::TargetsPaused});
         return;
     }
-    m_search.emplace(m_environment.searchPolicy(), std::move(candidates), searchTimeLimits(),
-                     m_environment.random());
+    const auto &policy = m_searchPurpose == SearchPurpose::LatencyHedge
+                                 ? m_environment.hedgeSearchPolicy()
+                                 : m_environment.searchPolicy();
+    m_search.emplace(policy, std::move(candidates), searchTimeLimits(), m_environment.random());
     continueSearch();
 }
 
@@ -172,15 +179,23 @@
     return std::min(m_deadline, m_environment.stopDeadline().value_or(m_deadline));
 }
 
+TimePoint ProxyExchange::objectiveDeadline() const
+{
+    const auto deadline = attemptDeadline();
+    if (m_route->latencyObjective <= Duration::zero())
+        return deadline;
+    return std::min(deadline,
+                    m_request.arrivedAt + m_route->latencyObjective - callerRoundTripTime);
+}
+
 SearchTimeLimits ProxyExchange::searchTimeLimits() const
 {
     const auto deadline = attemptDeadline();
     SearchTimeLimits limits{deadline, deadline, m_environment.expectedServiceTime(*m_route),
                             m_request.arrivedAt};
     // Retries are not held to the latency objective: a late response is better than none.
-    if (m_route->latencyObjective > Duration::zero() && m_attemptCount == 0)
-        limits.objectiveAt = std::min(deadline, m_request.arrivedAt + m_route->latencyObjective
-                                                        - callerRoundTripTime);
+    if (m_attemptCount == 0)
+        limits.objectiveAt = objectiveDeadline();
     const auto spare = limits.objectiveAt - m_request.arrivedAt - limits.serviceTime;
     const auto *urgent = m_routes->highestPriorityRoute(m_service);
     const bool shouldReserveSlot = urgent && urgent->priority < m_route->priority
@@ -258,18 +273,20 @@
     // The target may have started to drain while the search waited for a free slot.
     if (!upstream->isUsable())
         findTarget();
-    else if (m_isHedging && !shouldRetry({RetryReason::ResponseTimeout, true}))
-        awaitAttempts();
-    else
+    else if (isAttemptPermitted(*upstream))
         send(upstream);
+    else
+        awaitAttempts();
 }
 
 void ProxyExchange::perform(const RefuseStep &step)
 {
     const auto reason = step.reason;
-    if (m_search && widenSearch())
+    if (m_searchPurpose == SearchPurpose::LatencyHedge)
+        m_hedge.deny(info(), HedgeDenial::NoIdleTarget);
+    else if (m_search && widenSearch())
         return;
-    if (m_attempts.empty())
+    if (m_attempts.isEmpty())
         finishFailed(reason);
     else
         awaitAttempts();
@@ -286,7 +303,8 @@
         perform(RefuseStep{RefusalReason::TimeTooShort});
         return;
     }
-    m_isHedging = false;
+    const bool isLatencyHedge = std::exchange(m_searchPurpose, SearchPurpose::Attempt)
+                                == SearchPurpose::LatencyHedge;
     const RetryPolicy policy{.maxAttempts = m_route->maxAttempts};
     // The response to a request without an id cannot be told from a copy of an earlier one.
     const auto reuse = m_callerMetadata.id.isEmpty()
@@ -295,8 +313,9 @@
     ++m_attemptCount;
     m_lastTarget = upstream->spec().id;
     m_triedTargets.push_back(m_lastTarget);
-    const auto &attempt = m_attempts.emplace_back(Attempt{
-            m_attemptCount, upstream, upstream->acquire(reuse), now, upstream->stats().cost(now)});
+    const double cost = upstream->stats().cost(now);
+    const auto &attempt = m_attempts.add(
+            {m_attemptCount, upstream, upstream->acquire(reuse), now, cost, isLatencyHedge});
     logAttempt(attempt);
     upstream->stats().requestSent();
     UpstreamRequest request;
@@ -318,10 +337,18 @@
                 if (const auto self = weak.lock())
                     self->attemptEnded(number, std::move(result));
             });
-    const RetryContext context{info(), policy, m_attemptCount, now,
+    const auto requestInfo = info();
+    const RetryContext context{requestInfo, policy, m_attemptCount, now,
                                m_environment.expectedServiceTime(*m_route)};
+    m_stallTimer.cancel();
     if (const auto limit = stallLimit(context))
-        callAfter(m_waitTimer, weak_from_this(), *limit, &ProxyExchange::attemptStalled);
+        callAfter(m_stallTimer, weak_from_this(), *limit, &ProxyExchange::attemptStalled);
+    m_hedgeTimer.cancel();
+    const HedgeContext hedgeContext{requestInfo, m_attemptCount,      policy.maxAttempts,
+                                    now,         objectiveDeadline(), context.expectedDuration,
+                                    cost};
+    if (const auto delay = m_hedge.plan(hedgeContext, *m_route))
+        callAfter(m_hedgeTimer, weak_from_this(), *delay, &ProxyExchange::hedgeDue);
 }
 
 std::string ProxyExchange::encodeAttempt(const Upstream &upstream, Duration timeLeft) const
@@ -343,13 +370,10 @@
 
 void ProxyExchange::attemptEnded(unsigned number, AttemptResult result)
 {
-    const auto it = std::find_if(
-            m_attempts.begin(), m_attempts.end(),
-            [number](const auto &attempt) { return attempt.number == number; });
-    if (it == m_attempts.end())
+    const auto ended = m_attempts.take(number);
+    if (!ended)
         return;
-    const auto attempt = std::move(*it);
-    m_attempts.erase(it);
+    const auto &attempt = *ended;
     ResponseMetadata metadata;
     if (const auto *answered = std::get_if<Answered>(&result.outcome))
         metadata = m_environment.headerCodec().responseMetadata(answered->response.status,
@@ -359,7 +383,12 @@
     if (const auto *unknown = std::get_if<Unknown>(&result.outcome))
         m_mayHaveRun = *unknown;
     auto *answered = std::get_if<Answered>(&result.outcome);
+    if (attempt.isLatencyHedge)
+        m_hedge.ended(result, m_workspace);
     if (!evaluation.failure) {
+        if (attempt.isLatencyHedge)
+            m_environment.observer().hedgeWon();
+        m_hedge.recordClosed(m_attempts.all(), *m_route);
         finish(std::move(answered->response));
         return;
     }
@@ -367,10 +396,13 @@
         m_mayHaveRun = Unknown{UnknownReason::ResponseTruncated};
         m_serverErrorResponse = std::move(answered->response);
     }
+    // The other attempt is likely to respond sooner than a third one.
+    if (m_hedge.isSent() && m_attempts.hasUnstalled())
+        return;
     if (shouldRetry(*evaluation.failure)) {
-        m_isHedging = false;
+        m_searchPurpose = SearchPurpose::Attempt;
         findTarget();
-    } else if (m_attempts.empty()) {
+    } else if (m_attempts.isEmpty()) {
         finishFailed(evaluation.failure->reason == RetryReason::Shed
                              ? RefusalReason::TargetShed
                              : RefusalReason::TargetUnreachable);
@@ -448,11 +480,33 @@
            != m_triedTargets.end();
 }
 
+void ProxyExchange::hedgeDue()
+{
+    if (m_attempts.all().size() != 1 || m_search || !m_hedge.isAllowed(info()))
+        return;
+    m_searchPurpose = SearchPurpose::LatencyHedge;
+    findTarget();
+}
+
+bool ProxyExchange::isAttemptPermitted(const Upstream &upstream)
+{
+    switch (m_searchPurpose) {
+    case SearchPurpose::StallHedge:
+        return shouldRetry({RetryReason::ResponseTimeout, true});
+    case SearchPurpose::LatencyHedge:
+        return m_hedge.take(info(), m_workspace, upstream.spec().id);
+    case SearchPurpose::Attempt:
+        break;
+    }
+    return true;
+}
+
 void ProxyExchange::attemptStalled()
 {
-    if (m_attempts.empty())
+    const bool isSearching = m_search && m_searchPurpose != SearchPurpose::LatencyHedge;
+    if (m_attempts.isEmpty() || isSearching)
         return;
-    auto &attempt = m_attempts.back();
+    auto &attempt = m_attempts.latest();
     attempt.isStalled = true;
     attempt.upstream->closeUnansweredSince(attempt.sentAt);
     m_environment.events().record(
@@ -463,32 +517,32 @@
              {"left_ms", formatMilliseconds(m_deadline - m_environment.context().clock.now())}});
     if (!hasUntriedTarget())
         return;
-    m_isHedging = true;
+    m_searchPurpose = SearchPurpose::StallHedge;
     findTarget();
 }
 
 void ProxyExchange::awaitAttempts()
 {
-    m_isHedging = false;
+    m_searchPurpose = SearchPurpose::Attempt;
     m_search.reset();
     m_waitTimer.cancel();
 }
 
 void ProxyExchange::closeAttempts(HealthSignal healthSignal)
 {
-    const auto now = m_environment.context().clock.now();
-    for (const auto &it : std::exchange(m_attempts, {})) {
-        it.upstream->stats().requestEnded(it.isStalled ? HealthSignal::Failed : healthSignal, now);
-        it.connection->close();
-    }
+    m_stallTimer.cancel();
+    m_hedgeTimer.cancel();
+    m_attempts.closeAll(healthSignal, m_environment.context().clock.now());
 }
 
 void ProxyExchange::deadlinePassed()
 {
     if (!m_reply)
         return;
-    if (!m_attempts.empty())
+    if (!m_attempts.isEmpty()) {
         m_mayHaveRun = Unknown{UnknownReason::ResponseTimeout};
+        m_hedge.recordClosed(m_attempts.all(), *m_route);
+    }
     closeAttempts(HealthSignal::Failed);
     finishFailed(RefusalReason::TimeTooShort);
 }
--- a/Source/Request/Loop/ProxyExchange.h
+++ b/Source/Request/Loop/ProxyExchange.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "Request/Loop/TrafficEnvironment.h"
+#include "Request/Loop/LatencyHedge.h"
 
 #include <memory>
 #include <optional>
@@ -24,18 +24,14 @@
     void expire() override { deadlinePassed(); }
 
 private:
-    /** An attempt in progress. */
-    struct Attempt
-    {
-        /** Number of the attempt, from 1. */
-        unsigned number = 0;
-        std::shared_ptr<Upstream> upstream;
-        std::shared_ptr<UpstreamConnection> connection;
-        TimePoint sentAt{};
-        /** Cost of the target when the attempt was sent. */
-        double cost = 1.0;
-        /** No response arrived before the stall limit. */
-        bool isStalled = false;
+    /** What a target is searched for. */
+    enum class SearchPurpose : std::uint8_t {
+        /** The first attempt or a retry. */
+        Attempt,
+        /** A hedge of a stalled attempt; the retry budget has not been asked yet. */
+        StallHedge,
+        /** A hedge that cuts the latency. */
+        LatencyHedge,
     };
 
     /** Sets the caller's workspace. @return whether the route accepts the caller's key. */
@@ -68,6 +64,10 @@
      * progress go on, since their targets may be working on the request.
      */
     void attemptStalled();
+    /** Searches a target for a hedge that cuts the latency. */
+    void hedgeDue();
+    /** @return whether the budgets permit an attempt at the target that the search has found. */
+    bool isAttemptPermitted(const Upstream &upstream);
     /** Stops searching for another target, and waits for the attempts in progress. */
     void awaitAttempts();
     /** Closes the connections of all attempts in progress. */
@@ -77,6 +77,8 @@
     bool isTried(const Upstream &upstream) const;
     bool hasUntriedTarget() const;
     void deadlinePassed();
+    /** @return when a response must arrive to meet the latency objective, or the deadline. */
+    TimePoint objectiveDeadline() const;
     /** @return when attempts must have ended: the deadline, or the end of the process if earlier.
      */
     TimePoint attemptDeadline() const;
@@ -105,15 +107,17 @@
     TimePoint m_deadline{};
     LoopTimer m_deadlineTimer;
     LoopTimer m_waitTimer;
+    /** Stall limit of the attempt that was sent last. */
+    LoopTimer m_stallTimer;
+    LoopTimer m_hedgeTimer;
     std::optional<TargetSearch> m_search;
     /** Whether the search considers all targets instead of this VM's subset. */
     bool m_isSearchWidened = false;
     std::vector<std::shared_ptr<Upstream>> m_candidates;
-    /** More than one while a hedge is in progress. */
-    std::vector<Attempt> m_attempts;
+    AttemptSet m_attempts;
+    LatencyHedge m_hedge;
     unsigned m_attemptCount = 0;
-    /** The search is for a hedge, so the retry budget has not been asked yet. */
-    bool m_isHedging = false;
+    SearchPurpose m_searchPurpose = SearchPurpose::Attempt;
     /** The wait for a free slot is logged once for a request. */
     bool m_hasLoggedWait = false;
     std::vector<TargetId> m_triedTargets;
--- a/Source/Request/Loop/TrafficEnvironment.h
+++ b/Source/Request/Loop/TrafficEnvironment.h
@@ -41,6 +41,14 @@
     /** A request was served. @param serviceTime its latency divided by the target's cost when it
      * was sent */
     virtual void recordServiceTime(const Route &route, Duration serviceTime) = 0;
+    /** @return whether slow attempts may be hedged. */
+    virtual bool isHedgingEnabled() const = 0;
+    /** @return the policy of a search for the target of a hedge. */
+    virtual const SearchPolicy &hedgeSearchPolicy() const = 0;
+    /** @return latencies of a route's attempts, divided by the cost of their targets. */
+    virtual LatencyWindow &latencies(const Route &route) = 0;
+    /** @return the limits on the hedges of a service. */
+    virtual HedgeBudget &hedgeBudget(const ServiceName &service) = 0;
     virtual RequestObserver &observer() = 0;
     /** A request ended. @param latency time since its first byte arrived */
     virtual void recordOutcome(const RequestOutcome &outcome, Duration latency) = 0;
--- a/Tests/Process/GatewayTest.cpp
+++ b/Tests/Process/GatewayTest.cpp
@@ -60,6 +60,8 @@
     void closeAfterResponse() { m_closesAfterResponse = true; }
     /** @return connections on which bytes arrived after a request without a response. */
     unsigned reusedSilentConnections() const { return m_reusedSilentConnections; }
+    /** @return connections that were closed after a request without a response. */
+    unsigned closedSilentConnections() const { return m_closedSilentConnections; }
 
     static std::string response(const std::string &status, const std::string &id,
                                 const std::string &fields, const std::string &body)
@@ -99,6 +101,7 @@
             const auto reply = m_responder(fieldValue(head, "Attempt-Id: "));
             if (!reply) {
                 m_reusedSilentConnections += socket.readAll().empty() ? 0 : 1;
+                ++m_closedSilentConnections;
                 return;
             }
             if (!socket.send(*reply) || m_closesAfterResponse)
@@ -115,6 +118,7 @@
     std::atomic<bool> m_closesAfterResponse{false};
     std::atomic<unsigned long> m_lastTimeLeft{0};
     std::atomic<unsigned> m_reusedSilentConnections{0};
+    std::atomic<unsigned> m_closedSilentConnections{0};
     ScriptedServer m_server{[this](RawSocket &socket, unsigned) { serve(socket); }};
 };
 
@@ -287,6 +291,75 @@
     }
 };
 
+/** A service whose targets respond at once, except for the next attempt that the test makes slow.
+ */
+struct HedgeFixture : GatewayFixture
+{
+    HedgeFixture()
+    {
+        timeout = 3s;
+        latencyObjective = 2500ms;
+        for (const auto *id : {"one", "two", "three"}) {
+            addTarget(id, [this](const std::string &request) -> std::optional<std::string> {
+                if (m_slowAttempts > 0 && m_slowAttempts-- > 0)
+                    return slowResponder(request);
+                return ScriptedTarget::response("200 OK", request, {}, "fast");
+            });
+        }
+    }
+
+    /** Sets the share of requests that may be hedged, and fills the latencies of the route. */
+    void begin(double hedgeRatio)
+    {
+        settings.hedgeRatio = hedgeRatio;
+        // The retry budget is not to bind.
+        settings.retrySlack = 1000;
+        gateway->reconfigure(settings);
+        publish();
+        REQUIRE(succeeded(warmupCount) == warmupCount);
+        hedgesBefore = hedges();
+        requestsBefore = requests();
+    }
+    std::string callSlowed(const std::string &path = "/read/x")
+    {
+        m_slowAttempts = 1;
+        return call(path);
+    }
+    unsigned requests() const
+    {
+        unsigned n = 0;
+        for (const auto &it : targets)
+            n += it->requestCount();
+        return n;
+    }
+    unsigned closedSilentConnections() const
+    {
+        unsigned n = 0;
+        for (const auto &it : targets)
+            n += it->closedSilentConnections();
+        return n;
+    }
+    /** @return value of a counter of the gateway. */
+    unsigned long counter(const std::string &name)
+    {
+        RawSocket socket(settings.metricsEndpoint);
+        socket.send("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+        const auto text = socket.readResponse();
+        const auto position = text.find('\n' + name + ' ');
+        REQUIRE(position != std::string::npos);
+        return std::stoul(text.substr(position + name.size() + 2));
+    }
+    unsigned long hedges() { return counter("sapphireladder_hedges_total"); }
+
+    static constexpr unsigned warmupCount = 60;
+    ScriptedTarget::Responder slowResponder = [](const std::string &) { return std::nullopt; };
+    unsigned long hedgesBefore = 0;
+    unsigned requestsBefore = 0;
+
+private:
+    std::atomic<int> m_slowAttempts{0};
+};
+
 // Guards against requests to a target that announced its stop, in the registry's words still ready.
 TEST_CASE_FIXTURE(GatewayFixture, "gateway, target announces leaving, sends it nothing more")
 {
@@ -427,6 +500,77 @@
     CHECK(response.ends_with("slow"));
 }
 
+// Load: a few attempts take many times their usual time. Guards against a caller that waits for
+// a straggler while another target is idle, and against work that goes on for nobody.
+TEST_CASE_FIXTURE(HedgeFixture, "gateway, attempt is slow, another target answers and it is closed")
+{
+    begin(1.0);
+    // On a busy machine a load probe may not be answered in time, so that no hedge is sent.
+    REQUIRE(eventually([&] {
+        callSlowed();
+        return hedges() > hedgesBefore;
+    }));
+    const auto wonBefore = counter("sapphireladder_hedges_won_total");
+    const auto closedBefore = closedSilentConnections();
+    REQUIRE(eventually([&] {
+        hedgesBefore = hedges();
+        requestsBefore = requests();
+        const auto response = callSlowed();
+        return hedges() > hedgesBefore && response.ends_with("fast");
+    }));
+    CHECK(requests() - requestsBefore == 2);
+    CHECK(counter("sapphireladder_hedges_won_total") > wonBefore);
+    CHECK(eventually([&] { return closedSilentConnections() > closedBefore; }));
+    CHECK(events.count(EventId::RequestHedged) > 0);
+}
+
+// Guards against hedges in deployments whose settings do not ask for them.
+TEST_CASE_FIXTURE(HedgeFixture, "gateway, hedge ratio is zero, hedges only before the deadline")
+{
+    begin(0);
+    callSlowed();
+    CHECK(hedges() == 0);
+    CHECK(events.count(EventId::RequestStalled) == 1);
+}
+
+// Guards against a request that runs twice although it must not be repeated.
+TEST_CASE_FIXTURE(HedgeFixture, "gateway, non-idempotent attempt is slow, is not hedged")
+{
+    timeout = 1s;
+    latencyObjective = 900ms;
+    begin(1.0);
+    CHECK_FALSE(callSlowed("/write/x").starts_with("HTTP/1.1 200"));
+    CHECK(hedges() == hedgesBefore);
+    CHECK(requests() - requestsBefore == 1);
+}
+
+// Guards against a third attempt, and against a failure, while a hedge is about to respond.
+TEST_CASE_FIXTURE(HedgeFixture, "gateway, slow attempt fails, waits for the hedge")
+{
+    begin(1.0);
+    const auto eventsBefore = events.count(EventId::RequestHedged);
+    slowResponder = [&](const std::string &id) {
+        eventually([&] { return events.count(EventId::RequestHedged) > eventsBefore; });
+        return ScriptedTarget::response("500 Internal Server Error", id, {}, "failed");
+    };
+    const auto response = callSlowed();
+    CHECK(response.starts_with("HTTP/1.1 200"));
+    CHECK(requests() - requestsBefore == 2);
+}
+
+// Guards against a hedge that is sent to a busy target, where it takes the slot of another request.
+TEST_CASE_FIXTURE(HedgeFixture, "gateway, no other target is idle, sends no hedge")
+{
+    begin(1.0);
+    for (const auto &it : targets)
+        it->setReportedLoad(4);
+    // With a pause after which the load reports of earlier responses are not current.
+    std::this_thread::sleep_for(SearchPolicy().currentReportMaxAge * 2);
+    callSlowed();
+    CHECK(hedges() == hedgesBefore);
+    CHECK(events.count(EventId::RequestStalled) == 1);
+}
+
 // Guards against a copy of an earlier refusal that is taken for the response to a request, which is
 // then sent to a second target, or reported as not run, although the first target runs it.
 TEST_CASE_FIXTURE(RepeatedRefusalFixture,
