--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -31,6 +31,16 @@
 constexpr std::size_t maxUnsentBytes = 64 * kibibyte;
 /** Weight of a new sample in the moving average of a route's service time. */
 constexpr double serviceTimeSampleWeight = 0.05;
+/** Load probes in one search for the target of a hedge. */
+constexpr std::size_t maxProbesPerHedge = 4;
+
+SearchPolicy hedgeSearchPolicyOf(SearchPolicy policy)
+{
+    policy.nextRoundSize = policy.firstRoundSize;
+    policy.maxProbesPerPass = maxProbesPerHedge;
+    policy.requiresIdleTarget = true;
+    return policy;
+}
 
 } // namespace
 
@@ -48,8 +58,10 @@
     , m_events(events)
     , m_settings(std::move(settings))
     , m_random(RandomSource::fromSystem())
+    , m_hedgeSearchPolicy(hedgeSearchPolicyOf(m_searchPolicy))
     , m_snapshot(std::make_shared<GatewaySnapshot>())
     , m_allowances(m_context, events, m_settings)
+    , m_hedges(clock)
     , m_callerSessions(m_context,
                        callerConnectionLimit(m_settings.maxConnections, m_settings.maxDescriptors))
     , m_readySessions(m_statusContext, maxStatusConnections)
@@ -71,7 +83,9 @@
                   m_metricsSessions.accept(std::move(socket), m_metricsHandler);
               },
               [this] { m_callerSessions.shed(); })
-{}
+{
+    m_hedges.setPolicy(hedgeBudgetPolicy());
+}
 
 Gateway::~Gateway() = default;
 
@@ -97,6 +111,8 @@
         m_settings.retryWindow = settings.retryWindow;
         m_settings.loadProbesPerTargetPerSecond = settings.loadProbesPerTargetPerSecond;
         m_allowances.reconfigure(settings);
+        m_settings.hedgeRatio = settings.hedgeRatio;
+        m_hedges.setPolicy(hedgeBudgetPolicy());
         applySnapshot(m_snapshot);
     });
 }
@@ -131,6 +147,7 @@
     }
     m_upstreamEntries = std::move(entries);
     m_eligibilities.prune(m_context.clock.now());
+    m_hedges.prune();
     for (auto &[name, budget] : m_retryBudgets)
         budget.setPolicy(retryBudgetPolicy());
     if (!wasReady && std::holds_alternative<Response>(readiness()))
@@ -228,10 +245,25 @@
 }
 
 RetryTokens &Gateway::retryTokens(const ServiceName &service)
+{
+    return retryBudget(service);
+}
+
+WindowedRetryBudget &Gateway::retryBudget(const ServiceName &service)
 {
     return m_retryBudgets.try_emplace(service, retryBudgetPolicy(), m_context.clock).first->second;
 }
 
+HedgeBudgetPolicy Gateway::hedgeBudgetPolicy() const
+{
+    return {.ratio = m_settings.hedgeRatio, .window = m_settings.retryWindow};
+}
+
+HedgeBudget &Gateway::hedgeBudget(const ServiceName &service)
+{
+    return m_hedges.budget(service, retryBudget(service));
+}
+
 WeightedServiceSelector &Gateway::serviceSelector(const Route &route)
 {
     return m_serviceSelectors.try_emplace(route.name, m_random.unit()).first->second;
@@ -251,6 +283,7 @@
     m_serviceTimes[route.name] = estimate
                                  + duration_cast<Duration>((serviceTime - estimate)
                                                            * serviceTimeSampleWeight);
+    m_hedges.recordLatency(route, serviceTime);
 }
 
 void Gateway::recordOutcome(const RequestOutcome &outcome, Duration latency)
