Process, Request, platform: Send nothing to targets of evacuated zones

The operator evacuates a zone by a row beside the configuration. VMs ignored these rows, so an evacuated zone got requests as before. A request whose candidates all became unusable while it waited looks for others at once, and is refused if there are none.

Events 420 and 421 and a gauge show what a VM knows.

--- a/Source/Connection/Loop/Upstream.h
+++ b/Source/Connection/Loop/Upstream.h
@@ -72,6 +72,7 @@
 
     void setProbePolicy(const LoadProbePolicy &policy) { m_probeBudget.setPolicy(policy); }
     void setDraining(bool isDraining) { m_eligibility->setDraining(isDraining); }
+    void setEvacuated(bool isEvacuated) { m_eligibility->setEvacuated(isEvacuated); }
     /** @return whether new requests may be sent. */
     bool isUsable() const { return m_eligibility->isUsable(m_context.clock.now()); }
     const TargetEligibility &eligibility() const { return *m_eligibility; }
--- a/Source/Core/Event.cpp
+++ b/Source/Core/Event.cpp
@@ -43,6 +43,8 @@
         {EventId::TargetRecordInvalid, Severity::Warning, "target-record-invalid"},
         {EventId::TargetMisaddressed, Severity::Warning, "target-misaddressed"},
         {EventId::TargetPaused, Severity::Info, "target-paused"},
+        {EventId::ZoneEvacuated, Severity::Warning, "zone-evacuated"},
+        {EventId::ZoneReturned, Severity::Info, "zone-returned"},
         {EventId::PeerLost, Severity::Warning, "peer-lost"},
         {EventId::PeerJoined, Severity::Info, "peer-joined"},
         {EventId::PeerChannelReplaced, Severity::Warning, "peer-channel-replaced"},
--- a/Source/Core/Event.h
+++ b/Source/Core/Event.h
@@ -51,6 +51,8 @@
     TargetRecordInvalid = 413,
     TargetMisaddressed = 414,
     TargetPaused = 415,
+    ZoneEvacuated = 420,
+    ZoneReturned = 421,
     PeerLost = 500,
     PeerJoined = 501,
     PeerChannelReplaced = 502,
--- a/Source/Process/GatewayControl.cpp
+++ b/Source/Process/GatewayControl.cpp
@@ -70,6 +70,30 @@
                      {"in_force", std::to_string(m_routes ? m_routes->version() : 0)}});
 }
 
+void GatewayControl::evacuationsReceived(std::span<const ZoneName> zones)
+{
+    const std::set<ZoneName> evacuated(zones.begin(), zones.end());
+    for (const auto &it : std::set<ZoneName>(m_evacuatedZones)) {
+        if (!evacuated.contains(it))
+            evacuationChanged(it, false);
+    }
+    for (const auto &it : evacuated)
+        evacuationChanged(it, true);
+}
+
+void GatewayControl::evacuationChanged(const ZoneName &zone, bool isEvacuated)
+{
+    const bool isChanged = isEvacuated ? m_evacuatedZones.insert(zone).second
+                                       : m_evacuatedZones.erase(zone) > 0;
+    if (!isChanged)
+        return;
+    m_events.record(isEvacuated ? EventId::ZoneEvacuated : EventId::ZoneReturned,
+                    {{"zone", zone.string()},
+                     {"source", m_origin.name()},
+                     {"age_ms", millisecondsSince(m_origin.completeUntil, m_clock.now())}});
+    m_isDirty = true;
+}
+
 void GatewayControl::targetsReceived(std::span<const TargetRecord> records)
 {
     for (const auto &it : records)
@@ -168,6 +192,7 @@
     snapshot->routesSource = m_routesSource;
     snapshot->freshness = m_freshness;
     snapshot->targets = m_directory.records();
+    snapshot->evacuatedZones = m_evacuatedZones;
     snapshot->fleetSize = m_fleetSize;
     snapshot->hasReadTargets = m_hasReadTargets;
     m_sink.publish(std::move(snapshot));
--- a/Source/Process/GatewayControl.h
+++ b/Source/Process/GatewayControl.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Sapphireladder {
@@ -43,6 +44,8 @@
     void tableUpdated(Dependency table, const TableOrigin &origin) override;
     void routesReceived(RouteTableContent content) override;
     void routesRejected(const Error &error) override;
+    void evacuationsReceived(std::span<const ZoneName> zones) override;
+    void evacuationChanged(const ZoneName &zone, bool isEvacuated) override;
     void targetsReceived(std::span<const TargetRecord> records) override;
     void targetChanged(const TargetRecord &record) override;
     void targetRemoved(const TargetId &id) override;
@@ -73,6 +76,8 @@
     std::shared_ptr<const RouteTable> m_routes;
     /** Where the routes in force come from. */
     std::string m_routesSource;
+    /** Zones whose targets must not receive requests. */
+    std::set<ZoneName> m_evacuatedZones;
     /** The origin of the response whose changes are being delivered. */
     TableOrigin m_origin;
     std::shared_ptr<TableFreshness> m_freshness = std::make_shared<TableFreshness>();
--- a/Source/Process/GatewaySnapshot.h
+++ b/Source/Process/GatewaySnapshot.h
@@ -5,6 +5,7 @@
 #include "Version/Version.h"
 
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace Sapphireladder {
@@ -17,6 +18,8 @@
     /** The VM that relayed the routes, or "store". */
     std::string routesSource;
     std::vector<TargetRecord> targets;
+    /** Zones whose targets must not receive requests. */
+    std::set<ZoneName> evacuatedZones;
     /** Upper estimate of the number of running VMs, including this one. */
     unsigned fleetSize = 1;
     /** Whether the target registry has been read since the start. */
--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -137,6 +137,7 @@
     if (startsWarmup && record.warmupLeft > Duration::zero())
         stats.setWarmupEnd(m_context.clock.now() + record.warmupLeft);
     entry.upstream->setDraining(record.isDraining);
+    entry.upstream->setEvacuated(m_snapshot->evacuatedZones.contains(record.zone));
 }
 
 void Gateway::selectPreferred(ServiceUpstreams &upstreams)
@@ -144,7 +145,8 @@
     std::vector<SubsetTarget> targets;
     std::vector<std::shared_ptr<Upstream>> remaining;
     for (const auto &it : upstreams.all) {
-        if (it->eligibility().isLeaving() || it->eligibility().isDraining())
+        const auto &eligibility = it->eligibility();
+        if (eligibility.isLeaving() || eligibility.isDraining() || eligibility.isEvacuated())
             continue;
         targets.push_back({it->spec().id, it->spec().isLocal});
         remaining.push_back(it);
@@ -322,6 +324,7 @@
             {"sapphireladder_route_version", "gauge",
              m_snapshot->routes ? m_snapshot->routes->version() : 0},
             {"sapphireladder_targets", "gauge", m_upstreamEntries.size()},
+            {"sapphireladder_evacuated_zones", "gauge", m_snapshot->evacuatedZones.size()},
             {"sapphireladder_fleet_size", "gauge", m_snapshot->fleetSize},
             {"sapphireladder_caller_connections", "gauge", m_sessions.size()},
             {"sapphireladder_load_questions_total", "counter", m_upstreamCounters.probesSent},
--- a/Source/Process/PlatformFeed.h
+++ b/Source/Process/PlatformFeed.h
@@ -45,6 +45,10 @@
     virtual void routesReceived(RouteTableContent content) = 0;
     /** The operator's routes could not be decoded. */
     virtual void routesRejected(const Error &error) = 0;
+    /** The operator's complete list of evacuated zones was read. */
+    virtual void evacuationsReceived(std::span<const ZoneName> zones) = 0;
+    /** The operator evacuated a zone or took its evacuation back. */
+    virtual void evacuationChanged(const ZoneName &zone, bool isEvacuated) = 0;
     /** The complete registry was read. */
     virtual void targetsReceived(std::span<const TargetRecord> records) = 0;
     /** One target registered or changed its record. */
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -196,6 +196,13 @@
 {
     if (!m_search)
         return;
+    // All candidates may have been excluded while the search waited.
+    const bool hasUsable = std::any_of(m_candidates.begin(), m_candidates.end(),
+                                       [](const auto &it) { return it->isUsable(); });
+    if (!hasUsable && !m_candidates.empty()) {
+        findTarget();
+        return;
+    }
     const auto step = m_search->next(m_environment.context().clock.now());
     std::visit([this](const auto &it) { perform(it); }, step);
 }
--- a/Source/Request/TargetEligibility.h
+++ b/Source/Request/TargetEligibility.h
@@ -18,6 +18,8 @@
 
     /** Sets whether the registry reports the target as draining. */
     void setDraining(bool isDraining) { m_isDraining = isDraining; }
+    /** Sets whether the operator evacuated the target's zone. */
+    void setEvacuated(bool isEvacuated) { m_isEvacuated = isEvacuated; }
     /**
      * Records that the target announced in a response that it is leaving. This is final for the
      * incarnation: a registry record that still reports it as ready is older.
@@ -38,6 +40,7 @@
     /** @return when the target may receive requests again, if only a pause prevents them now. */
     std::optional<TimePoint> usableAt(TimePoint now) const;
     bool isDraining() const { return m_isDraining; }
+    bool isEvacuated() const { return m_isEvacuated; }
     bool isLeaving() const { return m_isLeaving; }
     bool isMisaddressed() const { return m_isMisaddressed; }
     /** @return whether a later registry record does not carry all of this information. */
@@ -47,9 +50,10 @@
     }
 
 private:
-    bool isGone() const { return m_isDraining || m_isLeaving || m_isMisaddressed; }
+    bool isGone() const { return m_isDraining || m_isEvacuated || m_isLeaving || m_isMisaddressed; }
 
     bool m_isDraining = false;
+    bool m_isEvacuated = false;
     bool m_isLeaving = false;
     bool m_isMisaddressed = false;
     TimePoint m_pausedUntil{};
--- a/Tests/Process/FleetRelayTest.cpp
+++ b/Tests/Process/FleetRelayTest.cpp
@@ -188,6 +188,8 @@
     void tableUpdated(Dependency, const TableOrigin &) override {}
     void routesReceived(RouteTableContent) override {}
     void routesRejected(const Error &) override {}
+    void evacuationsReceived(std::span<const ZoneName>) override {}
+    void evacuationChanged(const ZoneName &, bool) override {}
     void targetsReceived(std::span<const TargetRecord>) override {}
     void targetChanged(const TargetRecord &) override {}
     void targetRemoved(const TargetId &) override {}
