--- a/Tests/Version/RouteTableTest.cpp
+++ b/Tests/Version/RouteTableTest.cpp
@@ -90,4 +90,21 @@
     CHECK_FALSE(table.value()->highestPriorityRoute(ServiceName("other")));
 }
 
+// Guards against a key that belongs to two workspaces, whose requests then count for either.
+TEST_CASE_FIXTURE(RouteTableFixture, "route table, key or workspace listed twice, is rejected")
+{
+    content.workspaces = {{"north", {"k1", "k2"}}, {"south", {"k3"}}};
+    const auto table = RouteTable::create(content);
+    REQUIRE(table);
+    CHECK(table.value()->requiresKeys());
+    REQUIRE(table.value()->findWorkspace("k3"));
+    CHECK(table.value()->findWorkspace("k3")->name == "south");
+    CHECK_FALSE(table.value()->findWorkspace("k4"));
+    for (const auto &second : {Workspace{"south", {"k1"}}, Workspace{"north", {"k4"}},
+                               Workspace{"south", {"k5", "k5"}}}) {
+        content.workspaces[1] = second;
+        CHECK(RouteTable::create(content).error().code == VersionError::DuplicateName);
+    }
+}
+
 TEST_SUITE_END();
