Request, Connection, Process: Limit the requests to cold targets without contact

A target that starts, or turns cold again, crashes if all VMs send to it, and no VM knows what the others send.

The time that a target stays cold is read from its record and from responses to probes. The VMs that may warm a target up probe it first and use it if it can respond in time. Services without a limit are served as before.

--- a/Source/Connection/Loop/Upstream.cpp
+++ b/Source/Connection/Loop/Upstream.cpp
@@ -14,6 +14,7 @@
     , m_spec(std::move(spec))
     , m_stats(m_spec.slots)
     , m_probeBudget(context.clock.now())
+    , m_coldBudget(context.clock.now())
     , m_eligibility(std::move(eligibility))
 {}
 
@@ -24,6 +25,27 @@
     closeIdle();
 }
 
+void Upstream::setWarmupLeft(Duration warmupLeft)
+{
+    m_coldBudget.registryReported(warmupLeft, m_context.clock.now());
+    m_stats.setWarmupEnd(m_coldBudget.coldUntil());
+}
+
+bool Upstream::isUsable() const
+{
+    const auto now = m_context.clock.now();
+    return m_eligibility->isUsable(now) && m_coldBudget.canSend(now);
+}
+
+void Upstream::requestSent()
+{
+    const auto now = m_context.clock.now();
+    m_stats.requestSent();
+    if (m_coldBudget.isLimited() && m_coldBudget.isCold(now))
+        ++m_counters.sentToCold;
+    m_coldBudget.requestSent(now);
+}
+
 void Upstream::probe(ProbeHandler handler)
 {
     m_probeHandlers.push_back(std::move(handler));
@@ -33,7 +55,8 @@
 
 void Upstream::sendProbe()
 {
-    m_probeBudget.consume(m_context.clock.now());
+    m_probeSentAt = m_context.clock.now();
+    m_probeBudget.consume(m_probeSentAt);
     ++m_counters.probesSent;
     m_probeConnection = acquire(ReusePolicy::Any);
     UpstreamRequest request;
@@ -71,7 +94,7 @@
         if (isOtherTarget)
             setMisaddressed();
         else
-            responseReceived(metadata);
+            probeAnswered(metadata, now);
         hasLoad = metadata.load.has_value() && !isOtherTarget;
         constexpr unsigned ok = 200;
         if (hasLoad)
@@ -87,6 +110,15 @@
         it(hasLoad);
 }
 
+void Upstream::probeAnswered(const ResponseMetadata &metadata, TimePoint now)
+{
+    responseReceived(metadata);
+    if (!metadata.warmupLeft || !m_coldBudget.isLimited())
+        return;
+    m_coldBudget.probeReported(*metadata.warmupLeft, m_probeSentAt, now);
+    m_stats.setWarmupEnd(m_coldBudget.coldUntil());
+}
+
 void Upstream::responseReceived(const ResponseMetadata &metadata)
 {
     if (metadata.isLeaving && m_eligibility->announceLeaving()) {
--- a/Source/Connection/Loop/Upstream.h
+++ b/Source/Connection/Loop/Upstream.h
@@ -45,6 +45,8 @@
     std::uint64_t leavingAnnounced = 0;
     /** Pauses that targets asked for. */
     std::uint64_t pausesRequested = 0;
+    /** Requests sent to cold targets whose requests are limited. */
+    std::uint64_t sentToCold = 0;
 };
 
 /**
@@ -71,10 +73,21 @@
     const TargetStats &stats() const { return m_stats; }
 
     void setProbePolicy(const LoadProbePolicy &policy) { m_probeBudget.setPolicy(policy); }
+    void addProbeRate(double probesPerSecond) { m_probeBudget.addRate(probesPerSecond); }
     void setDraining(bool isDraining) { m_eligibility->setDraining(isDraining); }
+    /** Sets what this VM may send while the target is cold; see ColdTargetBudget::setAllowance().
+     */
+    void setColdAllowance(std::optional<unsigned> requests) { m_coldBudget.setAllowance(requests); }
+    /** Applies how long the target stays cold by a new record of it. */
+    void setWarmupLeft(Duration warmupLeft);
+    const ColdTargetBudget &coldBudget() const { return m_coldBudget; }
     void setEvacuated(bool isEvacuated) { m_eligibility->setEvacuated(isEvacuated); }
     /** @return whether new requests may be sent. */
-    bool isUsable() const { return m_eligibility->isUsable(m_context.clock.now()); }
+    bool isUsable() const;
+    /** @return whether the target is cold, and this VM is one of those that may warm it up now. */
+    bool isWarmupDue() const { return m_coldBudget.isWarmupDue(m_context.clock.now()); }
+    /** A request is sent to the target. */
+    void requestSent();
     const TargetEligibility &eligibility() const { return *m_eligibility; }
     /** Marks the target as unusable because another target answers at its address. */
     void setMisaddressed() { m_eligibility->setMisaddressed(); }
@@ -105,6 +118,7 @@
 
     void sendProbe();
     void handleProbeResult(const AttemptResult &result);
+    void probeAnswered(const ResponseMetadata &metadata, TimePoint now);
     std::string encodeProbe() const;
     bool isReusable(const IdleConnection &idle, ReusePolicy reuse, TimePoint now) const;
 
@@ -116,10 +130,12 @@
     TargetStats m_stats;
     UpstreamLimits m_limits;
     LoadProbeBudget m_probeBudget;
+    ColdTargetBudget m_coldBudget;
     const std::shared_ptr<TargetEligibility> m_eligibility;
     std::vector<IdleConnection> m_idle;
     std::vector<ProbeHandler> m_probeHandlers;
     std::shared_ptr<UpstreamConnection> m_probeConnection;
+    TimePoint m_probeSentAt{};
 };
 
 } // namespace Sapphireladder
--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -21,6 +21,9 @@
 constexpr double subsetProbeShare = 0.5;
 /** Part of the load probes to a target that the other VMs may use. */
 constexpr double otherProbeShare = 0.4;
+/** Additional load probes to a cold target from each of the few VMs that may send to it: one before
+ * each request. */
+constexpr double warmupProbesPerSecond = 1.0;
 /** Initial estimate of a route's service time, as a fraction of its latency objective. */
 constexpr double initialServiceTimeShare = 0.4;
 /** Weight of a new sample in the moving average of a route's service time. */
@@ -68,6 +71,8 @@
         m_settings.retrySlack = settings.retrySlack;
         m_settings.retryWindow = settings.retryWindow;
         m_settings.loadProbesPerTargetPerSecond = settings.loadProbesPerTargetPerSecond;
+        m_settings.warmupFactor = settings.warmupFactor;
+        m_settings.warmupSlack = settings.warmupSlack;
         applySnapshot(m_snapshot);
     });
 }
@@ -76,6 +81,8 @@
 {
     const bool wasReady = std::holds_alternative<Response>(readiness());
     m_snapshot = std::move(snapshot);
+    m_coldShares.update(m_snapshot->routes.get(), m_snapshot->fleetSize, m_settings,
+                        m_context.clock.now());
     std::map<TargetId, UpstreamEntry> entries;
     m_upstreamsByService.clear();
     for (const auto &it : m_snapshot->targets) {
@@ -87,7 +94,7 @@
         auto known = m_upstreamEntries.extract(it.id);
         auto entry = known && isSameInstance(known.mapped(), it, service->healthPath)
                              ? std::move(known.mapped())
-                             : createEntry(it, service->healthPath);
+                             : createEntry(it, *service);
         update(entry, it);
         m_upstreamsByService[it.service].all.push_back(entry.upstream);
         entries.emplace(it.id, std::move(entry));
@@ -109,33 +116,50 @@
                          {"targets", std::to_string(m_upstreamEntries.size())}});
 }
 
-Gateway::UpstreamEntry Gateway::createEntry(const TargetRecord &record, std::string_view healthPath)
+Gateway::UpstreamEntry Gateway::createEntry(const TargetRecord &record,
+                                            const UpstreamService &service)
 {
     UpstreamSpec spec{record.id, record.endpoint, record.slots, record.zone == m_settings.zone,
-                      std::string(healthPath)};
-    return {record, std::make_shared<Upstream>(
-                            m_context, m_headerCodec, m_events, m_upstreamCounters, std::move(spec),
-                            m_eligibilities.find(record, m_context.clock.now()))};
+                      service.healthPath};
+    // Without a record, so that update() applies this one as new.
+    return {std::nullopt,
+            std::make_shared<Upstream>(m_context, m_headerCodec, m_events, m_upstreamCounters,
+                                       std::move(spec),
+                                       m_eligibilities.find(record, m_context.clock.now()))};
 }
 
 bool Gateway::isSameInstance(const UpstreamEntry &entry, const TargetRecord &record,
                              std::string_view healthPath) const
 {
-    return entry.record.endpoint == record.endpoint
-           && entry.record.incarnation == record.incarnation
-           && entry.record.service == record.service
+    return entry.record && entry.record->endpoint == record.endpoint
+           && entry.record->incarnation == record.incarnation
+           && entry.record->service == record.service
            && entry.upstream->spec().healthPath == healthPath;
 }
 
+void Gateway::updateWarmup(UpstreamEntry &entry, const TargetRecord &record)
+{
+    auto &upstream = *entry.upstream;
+    const auto allowance = m_coldShares.allowance(record.service, m_settings.vm, record);
+    // An unchanged record states what was left when it was received.
+    const bool isNews = entry.record != record || !upstream.coldBudget().isLimited();
+    upstream.setColdAllowance(allowance);
+    if (allowance && isNews)
+        upstream.setWarmupLeft(record.warmupLeft);
+    if (allowance)
+        return;
+    const bool startsWarmup = !entry.record || entry.record->warmupLeft != record.warmupLeft
+                              || upstream.stats().inFlight() == 0;
+    if (startsWarmup && record.warmupLeft > Duration::zero())
+        upstream.stats().setWarmupEnd(m_context.clock.now() + record.warmupLeft);
+}
+
 void Gateway::update(UpstreamEntry &entry, const TargetRecord &record)
 {
-    const bool startsWarmup = entry.record.warmupLeft != record.warmupLeft
-                              || entry.upstream->stats().inFlight() == 0;
+    updateWarmup(entry, record);
     entry.record = record;
     auto &stats = entry.upstream->stats();
     stats.setSlots(record.slots);
-    if (startsWarmup && record.warmupLeft > Duration::zero())
-        stats.setWarmupEnd(m_context.clock.now() + record.warmupLeft);
     entry.upstream->setDraining(record.isDraining);
     entry.upstream->setEvacuated(m_snapshot->evacuatedZones.contains(record.zone));
 }
@@ -165,6 +189,23 @@
         if (!isWhole)
             setProbeRate(*remaining[i], std::min(1.0, fleetShare * subsetProbeShare / subsetShare));
     }
+    addWarmups(upstreams);
+}
+
+void Gateway::addWarmups(ServiceUpstreams &upstreams)
+{
+    const auto now = m_context.clock.now();
+    for (const auto &it : upstreams.all) {
+        const auto &budget = it->coldBudget();
+        const auto &eligibility = it->eligibility();
+        if (!budget.hasAllowance() || !budget.isCold(now) || eligibility.isLeaving()
+            || eligibility.isDraining() || eligibility.isEvacuated())
+            continue;
+        it->addProbeRate(warmupProbesPerSecond);
+        if (std::find(upstreams.preferred.begin(), upstreams.preferred.end(), it)
+            == upstreams.preferred.end())
+            upstreams.preferred.push_back(it);
+    }
 }
 
 void Gateway::setProbeRate(Upstream &upstream, double fleetShare)
@@ -335,6 +376,7 @@
             {"sapphireladder_targets_announced_leaving_total", "counter",
              m_upstreamCounters.leavingAnnounced},
             {"sapphireladder_target_pauses_total", "counter", m_upstreamCounters.pausesRequested},
+            {"sapphireladder_cold_target_requests_total", "counter", m_upstreamCounters.sentToCold},
             {"sapphireladder_abandoned_total", "counter", m_abandonedCount},
     };
     std::ostringstream out;
--- a/Source/Process/Loop/Gateway.h
+++ b/Source/Process/Loop/Gateway.h
@@ -85,7 +85,8 @@
     /** A target of the snapshot with this VM's connections to it and load statistics of it. */
     struct UpstreamEntry
     {
-        TargetRecord record;
+        /** The record that was applied last; absent before the first. */
+        std::optional<TargetRecord> record;
         std::shared_ptr<Upstream> upstream;
     };
 
@@ -98,10 +99,13 @@
     };
 
     void applySnapshot(std::shared_ptr<const GatewaySnapshot> snapshot);
-    UpstreamEntry createEntry(const TargetRecord &record, std::string_view healthPath);
+    UpstreamEntry createEntry(const TargetRecord &record, const UpstreamService &service);
     bool isSameInstance(const UpstreamEntry &entry, const TargetRecord &record,
                         std::string_view healthPath) const;
     void update(UpstreamEntry &entry, const TargetRecord &record);
+    void updateWarmup(UpstreamEntry &entry, const TargetRecord &record);
+    /** Adds the cold targets that few VMs, including this one, may send to. */
+    void addWarmups(ServiceUpstreams &upstreams);
     /** Selects the targets that this VM uses, and divides the load probes among the VMs. */
     void selectPreferred(ServiceUpstreams &upstreams);
     void setProbeRate(Upstream &upstream, double fleetShare);
@@ -120,6 +124,7 @@
     TargetEligibilityTable m_eligibilities;
     std::map<TargetId, UpstreamEntry> m_upstreamEntries;
     std::unordered_map<ServiceName, ServiceUpstreams> m_upstreamsByService;
+    ColdTargetShares m_coldShares;
     std::unordered_map<ServiceName, WindowedRetryBudget> m_retryBudgets;
     std::unordered_map<std::string, WeightedServiceSelector> m_serviceSelectors;
     /** Moving average of the service time, by route name. */
--- a/Source/Process/Process.h
+++ b/Source/Process/Process.h
@@ -4,6 +4,7 @@
 
 #include "Process/AdmissionControl.h"
 #include "Process/AdmissionQueue.h"
+#include "Process/ColdTargetShares.h"
 #include "Process/ControlMessage.h"
 #include "Process/ControlState.h"
 #include "Process/ControlTraffic.h"
--- a/Source/Request/HeaderCodec.h
+++ b/Source/Request/HeaderCodec.h
@@ -47,6 +47,8 @@
     bool isLeaving = false;
     /** How long the target wants to receive no requests from this VM. */
     std::optional<Duration> retryAfter;
+    /** How long the target stays cold, if the response to a health probe states it. */
+    std::optional<Duration> warmupLeft;
     /** The response carries the signature of a target. */
     bool isSigned = false;
 };
--- a/Source/Request/LoadProbeBudget.h
+++ b/Source/Request/LoadProbeBudget.h
@@ -28,6 +28,7 @@
     {}
 
     void setPolicy(const LoadProbePolicy &policy) { m_policy = policy; }
+    void addRate(double probesPerSecond) { m_policy.probesPerSecond += probesPerSecond; }
     const LoadProbePolicy &policy() const { return m_policy; }
     /** @return whether a probe may be sent. */
     bool canProbe(TimePoint now) const { return tokens(now) >= 1.0; }
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -143,7 +143,8 @@
     std::vector<SearchCandidate> candidates;
     candidates.reserve(m_candidates.size());
     for (const auto &it : m_candidates)
-        candidates.push_back({&it->stats(), it->spec().isLocal, &it->probeBudget()});
+        candidates.push_back({&it->stats(), it->spec().isLocal, &it->probeBudget(),
+                              m_attemptCount == 0 && it->isWarmupDue()});
     if (candidates.empty() && m_targetUsableAt) {
         perform(RefuseStep{RefusalReason::TargetsPaused});
         return;
@@ -305,7 +306,7 @@
     const auto &attempt = m_attempts.emplace_back(Attempt{
             m_attemptCount, upstream, upstream->acquire(reuse), now, upstream->stats().cost(now)});
     logAttempt(attempt);
-    upstream->stats().requestSent();
+    upstream->requestSent();
     UpstreamRequest request;
     request.bytes = encodeAttempt(*upstream, timeLeft);
     request.isBodyless = m_request.method == "HEAD";
--- a/Source/Request/Request.h
+++ b/Source/Request/Request.h
@@ -8,6 +8,7 @@
 #include "Request/AttemptResult.h"
 #include "Request/Claim.h"
 #include "Request/ClaimStateMachine.h"
+#include "Request/ColdTargetPolicy.h"
 #include "Request/HeaderCodec.h"
 #include "Request/HeaderField.h"
 #include "Request/LeastInFlightSelector.h"
--- a/Source/Request/TargetSearch.cpp
+++ b/Source/Request/TargetSearch.cpp
@@ -28,12 +28,24 @@
     shuffle(m_probeOrder, random);
     std::stable_partition(m_probeOrder.begin(), m_probeOrder.end(),
                           [this](std::size_t i) { return m_candidates[i].isLocal; });
+    std::stable_partition(m_probeOrder.begin(), m_probeOrder.end(),
+                          [this](std::size_t i) { return m_candidates[i].isWarmupDue; });
 }
 
 SearchStep TargetSearch::next(TimePoint now)
 {
     if (m_candidates.empty())
         return RefuseStep{RefusalReason::NoUsableTarget};
+    if (const auto warmup = findWarmup(now))
+        return SendStep{*warmup};
+    // A current report of another target must not prevent the probe of a cold one.
+    const auto first = m_probeOrder.front();
+    const auto &cold = m_candidates[first];
+    if (cold.isWarmupDue && m_probeCount == 0 && cold.probeBudget->canProbe(now)
+        && !cold.stats->hasReportWithin(now, m_policy.currentReportMaxAge))
+        return startProbeRound(now);
+    if (cold.isWarmupDue && m_probeStates[first] == ProbeState::Pending && now < m_roundEndsAt)
+        return WaitStep{m_roundEndsAt, false};
     if (const auto best = findBest(now, m_policy.currentReportMaxAge);
         best && costOf(*best, now) <= m_policy.immediateSendCost)
         return SendStep{*best};
@@ -80,6 +92,26 @@
     return found;
 }
 
+std::optional<std::size_t> TargetSearch::findWarmup(TimePoint now) const
+{
+    for (const auto i : m_probeOrder) {
+        // They are the first in the order.
+        if (!m_candidates[i].isWarmupDue)
+            break;
+        const auto &stats = *m_candidates[i].stats;
+        if (m_probeStates[i] != ProbeState::Failed && hasFreeSlot(stats, now)
+            && stats.hasReportWithin(now, m_policy.currentReportMaxAge)
+            && expectedEnd(costOf(i, now), now) <= m_timeLimits.objectiveAt)
+            return i;
+    }
+    return std::nullopt;
+}
+
+TimePoint TargetSearch::expectedEnd(double cost, TimePoint now) const
+{
+    return now + duration_cast<Duration>(m_timeLimits.serviceTime * cost);
+}
+
 std::optional<std::size_t> TargetSearch::findBestWithoutAnswers(TimePoint now) const
 {
     if (const auto recent = findBest(now, m_policy.usableReportMaxAge))
@@ -119,12 +151,10 @@
         std::fill(m_probeStates.begin(), m_probeStates.end(), ProbeState::NotProbed);
         choice = findBestWithoutAnswers(now);
     }
-    const auto expectedEnd = [this, now](double cost) {
-        return now + duration_cast<Duration>(m_timeLimits.serviceTime * cost);
-    };
-    if (choice && expectedEnd(costOf(*choice, now)) <= m_timeLimits.objectiveAt)
+    if (choice && expectedEnd(costOf(*choice, now), now) <= m_timeLimits.objectiveAt)
         return SendStep{*choice};
-    if (expectedEnd(m_policy.immediateSendCost) + m_policy.passInterval <= m_timeLimits.objectiveAt)
+    if (expectedEnd(m_policy.immediateSendCost, now) + m_policy.passInterval
+        <= m_timeLimits.objectiveAt)
         return waitForNextPass(now + m_policy.passInterval);
     // A late response is better than none as long as no other request needs the slot. Targets that
     // do not report their load are used all the same.
@@ -132,7 +162,7 @@
     if (choice
         && (!hasReport
             || (!isLoadHighOrUnknown(now)
-                && expectedEnd(costOf(*choice, now)) <= m_timeLimits.deadline)))
+                && expectedEnd(costOf(*choice, now), now) <= m_timeLimits.deadline)))
         return SendStep{*choice};
     return RefuseStep{RefusalReason::QueueFull};
 }
--- a/Source/Request/TargetSearch.h
+++ b/Source/Request/TargetSearch.h
@@ -19,6 +19,9 @@
     bool isLocal = false;
     /** Budget for load probes to the target; outlives the search. */
     const LoadProbeBudget *probeBudget = nullptr;
+    /** The target is cold and gets few requests, of which this one may be the next. It is used
+     * before others if it can respond in time, since few VMs may send to it. */
+    bool isWarmupDue = false;
 };
 
 /** Parameters of a target search. */
@@ -133,6 +136,9 @@
      * @return the candidate with a free slot that has the lowest cost.
      */
     std::optional<std::size_t> findBest(TimePoint now, std::optional<Duration> maxAge) const;
+    /** @return a cold target that may get the request and has reported room for it. */
+    std::optional<std::size_t> findWarmup(TimePoint now) const;
+    TimePoint expectedEnd(double cost, TimePoint now) const;
     /** @return the target to use if none answered a probe in this pass. */
     std::optional<std::size_t> findBestWithoutAnswers(TimePoint now) const;
     ProbeStep startProbeRound(TimePoint now);
--- a/Tests/Platform/PlatformDecoderTest.cpp
+++ b/Tests/Platform/PlatformDecoderTest.cpp
@@ -211,13 +211,46 @@
 {
     std::vector<HeaderField> fields{
             {"deadline-ms", "5000"}, {"Expect-Instance", "x"}, {"Attempt-Id", "1"}};
-    codec.setAttemptHeaders(fields, {800ms, "i-1"});
+    codec.setAttemptHeaders(fields, {800ms, "i-1", {}});
     REQUIRE(fields.size() == 3);
     CHECK(fields[0].name == "Attempt-Id");
     CHECK(fields[1].value == "800");
     CHECK(fields[2].value == "i-1");
 }
 
+// Guards against a caller that names a workspace itself, and against its key at a target.
+TEST_CASE_FIXTURE(PlatformHeaderCodecFixture,
+                  "header codec, key and workspace of the caller, are replaced in any spelling")
+{
+    const std::vector<HeaderField> sent{{"Credential", "k1"}, {"CREDENTIAL", "k2"}, {"tenant", "x"},
+                                        {"Tenant", "y"},      {"TENANT", ""},       {"Other", "z"}};
+    auto fields = sent;
+    codec.setAttemptHeaders(fields, {800ms, "i-1", "north"});
+    REQUIRE(fields.size() == 4);
+    CHECK(fields[0].value == "z");
+    CHECK(fields[3].name == "Tenant");
+    CHECK(fields[3].value == "north");
+    fields = sent;
+    codec.setAttemptHeaders(fields, {800ms, "i-1", {}});
+    CHECK(fields.size() == 3);
+}
+
+// Guards against a cold target that counts as warm because of a value that overflows.
+TEST_CASE_FIXTURE(PlatformHeaderCodecFixture,
+                  "header codec, remaining warm-up, is read if it is a number")
+{
+    const auto warmupLeft = [this](const std::string &value) {
+        const HeaderField fields[] = {{"warmup-ms", value}};
+        return codec.responseMetadata(200, fields).warmupLeft;
+    };
+    CHECK(warmupLeft("2500") == 2500ms);
+    CHECK(warmupLeft("0") == 0ms);
+    CHECK(warmupLeft("18446744073709551615") == 24h);
+    for (const auto *it : {"", "-1", "1.5", "soon", "99999999999999999999999"})
+        CHECK_FALSE(warmupLeft(it));
+    CHECK_FALSE(codec.responseMetadata(200, {}).warmupLeft);
+}
+
 TEST_CASE_FIXTURE(PlatformHeaderCodecFixture,
                   "header codec, caller deadline that is invalid, is ignored")
 {
--- a/Tests/Request/TargetSearchTest.cpp
+++ b/Tests/Request/TargetSearchTest.cpp
@@ -299,4 +299,58 @@
     CHECK(std::holds_alternative<SendStep>(next(it)));
 }
 
+// Guards against new targets that get no request, since others with a lower cost are preferred.
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, cold target due, is probed first and used")
+{
+    candidates[4].isWarmupDue = true;
+    stats.at(4).setWarmupEnd(clock.now() + 10s);
+    auto it = search(500ms);
+    const auto step = next(it);
+    REQUIRE(std::holds_alternative<ProbeStep>(step));
+    CHECK(std::get<ProbeStep>(step).candidates.front() == 4);
+    for (const auto i : std::get<ProbeStep>(step).candidates)
+        answerProbe(it, i, 0, 1.0);
+    const auto choice = next(it);
+    REQUIRE(std::holds_alternative<SendStep>(choice));
+    CHECK(std::get<SendStep>(choice).candidate == 4);
+}
+
+// Load pattern: a VM with so many requests that the reports of warm targets are always current.
+// Guards against cold targets that get no probe and no request.
+TEST_CASE_FIXTURE(TargetSearchFixture,
+                  "target search, others have current reports, probes cold one")
+{
+    candidates[4].isWarmupDue = true;
+    for (auto &[i, stat] : stats) {
+        if (i != 4)
+            stat.loadReported({0, 2, 0, 1.0}, true, clock.now());
+    }
+    auto it = search(500ms);
+    const auto step = next(it);
+    REQUIRE(std::holds_alternative<ProbeStep>(step));
+    CHECK(std::get<ProbeStep>(step).candidates == std::vector<std::size_t>{4});
+    CHECK(std::holds_alternative<WaitStep>(next(it)));
+    clock.advance(policy.probeRoundTimeout);
+    const auto late = next(it);
+    REQUIRE(std::holds_alternative<SendStep>(late));
+    CHECK(std::get<SendStep>(late).candidate != 4);
+}
+
+// Guards against requests that are late because a cold target is slow or full.
+TEST_CASE_FIXTURE(TargetSearchFixture,
+                  "target search, cold target due but too slow or full, uses another one")
+{
+    candidates[4].isWarmupDue = true;
+    stats.at(4).setWarmupEnd(clock.now() + 10s);
+    for (const unsigned inFlight : {0U, 2U}) {
+        for (auto &[i, stat] : stats)
+            stat.loadReported({i == 4 ? inFlight : 0, 2, 0, 1.0}, true, clock.now());
+        // At a cost of 2, the cold target responds after 200 ms.
+        auto it = search(inFlight == 0 ? 150ms : 500ms);
+        const auto step = next(it);
+        REQUIRE(std::holds_alternative<SendStep>(step));
+        CHECK(std::get<SendStep>(step).candidate != 4);
+    }
+}
+
 TEST_SUITE_END();
