--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -21,6 +21,9 @@
 constexpr double subsetProbeShare = 0.5;
 /** Part of the load probes to a target that the other VMs may use. */
 constexpr double otherProbeShare = 0.4;
+/** Additional load probes to a cold target from each of the few VMs that may send to it: one before
+ * each request. */
+constexpr double warmupProbesPerSecond = 1.0;
 /** Initial estimate of a route's service time, as a fraction of its latency objective. */
 constexpr double initialServiceTimeShare = 0.4;
 /** Buffers of all connections to the ready and metrics endpoints. */
@@ -113,6 +116,8 @@
         m_allowances.reconfigure(settings);
         m_settings.hedgeRatio = settings.hedgeRatio;
         m_hedges.setPolicy(hedgeBudgetPolicy());
+        m_settings.warmupFactor = settings.warmupFactor;
+        m_settings.warmupSlack = settings.warmupSlack;
         applySnapshot(m_snapshot);
     });
 }
@@ -122,6 +127,8 @@
     const bool wasReady = std::holds_alternative<Response>(readiness());
     m_snapshot = std::move(snapshot);
     m_allowances.update(*m_snapshot);
+    m_coldShares.update(m_snapshot->routes.get(), m_snapshot->fleetSize, m_settings,
+                        m_context.clock.now());
     std::map<TargetId, UpstreamEntry> entries;
     m_upstreamsByService.clear();
     for (const auto &it : m_snapshot->targets) {
@@ -133,7 +140,7 @@
         auto known = m_upstreamEntries.extract(it.id);
         auto entry = known && isSameInstance(known.mapped(), it, service->healthPath)
                              ? std::move(known.mapped())
-                             : createEntry(it, service->healthPath);
+                             : createEntry(it, *service);
         update(entry, it);
         m_upstreamsByService[it.service].all.push_back(entry.upstream);
         entries.emplace(it.id, std::move(entry));
@@ -156,34 +163,52 @@
                          {"targets", std::to_string(m_upstreamEntries.size())}});
 }
 
-Gateway::UpstreamEntry Gateway::createEntry(const TargetRecord &record, std::string_view healthPath)
+Gateway::UpstreamEntry Gateway::createEntry(const TargetRecord &record,
+                                            const UpstreamService &service)
 {
     UpstreamSpec spec{record.id, record.endpoint, record.slots, record.zone == m_settings.zone,
-                      std::string(healthPath)};
-    return {record, std::make_shared<Upstream>(
-                            m_context, m_headerCodec, m_events, m_upstreamCounters, std::move(spec),
-                            m_eligibilities.find(record, m_context.clock.now()))};
+                      service.healthPath};
+    // Without a record, so that update() applies this one as new.
+    return {std::nullopt,
+            std::make_shared<Upstream>(m_context, m_headerCodec, m_events, m_upstreamCounters,
+                                       std::move(spec),
+                                       m_eligibilities.find(record, m_context.clock.now()))};
 }
 
 bool Gateway::isSameInstance(const UpstreamEntry &entry, const TargetRecord &record,
                              std::string_view healthPath) const
 {
-    return entry.record.endpoint == record.endpoint
-           && entry.record.incarnation == record.incarnation
-           && entry.record.service == record.service
+    return entry.record && entry.record->endpoint == record.endpoint
+           && entry.record->incarnation == record.incarnation
+           && entry.record->service == record.service
            && entry.upstream->spec().healthPath == healthPath;
 }
 
+void Gateway::updateWarmup(UpstreamEntry &entry, const TargetRecord &record)
+{
+    auto &upstream = *entry.upstream;
+    const auto allowance = m_coldShares.allowance(record.service, m_settings.vm, record);
+    // An unchanged record states what was left when it was received.
+    const bool isNews = entry.record != record || !upstream.coldBudget().isLimited();
+    upstream.setColdAllowance(allowance);
+    if (allowance && isNews)
+        upstream.setWarmupLeft(record.warmupLeft);
+    if (allowance)
+        return;
+    const bool startsWarmup = !entry.record || entry.record->warmupLeft != record.warmupLeft
+                              || upstream.stats().inFlight() == 0;
+    if (startsWarmup && record.warmupLeft > Duration::zero())
+        upstream.stats().setWarmupEnd(m_context.clock.now() + record.warmupLeft);
+}
+
 void Gateway::update(UpstreamEntry &entry, const TargetRecord &record)
 {
-    const bool startsWarmup = entry.record.warmupLeft != record.warmupLeft
-                              || entry.upstream->stats().inFlight() == 0;
+    updateWarmup(entry, record);
     entry.record = record;
     auto &stats = entry.upstream->stats();
     stats.setSlots(record.slots);
-    if (startsWarmup && record.warmupLeft > Duration::zero())
-        stats.setWarmupEnd(m_context.clock.now() + record.warmupLeft);
     entry.upstream->setDraining(record.isDraining);
+    entry.upstream->setEvacuated(m_snapshot->evacuatedZones.contains(record.zone));
 }
 
 void Gateway::selectPreferred(ServiceUpstreams &upstreams)
@@ -191,7 +216,8 @@
     std::vector<SubsetTarget> targets;
     std::vector<std::shared_ptr<Upstream>> remaining;
     for (const auto &it : upstreams.all) {
-        if (it->eligibility().isLeaving() || it->eligibility().isDraining())
+        const auto &eligibility = it->eligibility();
+        if (eligibility.isLeaving() || eligibility.isDraining() || eligibility.isEvacuated())
             continue;
         targets.push_back({it->spec().id, it->spec().isLocal});
         remaining.push_back(it);
@@ -210,6 +236,23 @@
         if (!isWhole)
             setProbeRate(*remaining[i], std::min(1.0, fleetShare * subsetProbeShare / subsetShare));
     }
+    addWarmups(upstreams);
+}
+
+void Gateway::addWarmups(ServiceUpstreams &upstreams)
+{
+    const auto now = m_context.clock.now();
+    for (const auto &it : upstreams.all) {
+        const auto &budget = it->coldBudget();
+        const auto &eligibility = it->eligibility();
+        if (!budget.hasAllowance() || !budget.isCold(now) || eligibility.isLeaving()
+            || eligibility.isDraining() || eligibility.isEvacuated())
+            continue;
+        it->addProbeRate(warmupProbesPerSecond);
+        if (std::find(upstreams.preferred.begin(), upstreams.preferred.end(), it)
+            == upstreams.preferred.end())
+            upstreams.preferred.push_back(it);
+    }
 }
 
 void Gateway::setProbeRate(Upstream &upstream, double fleetShare)
@@ -385,6 +428,7 @@
             {"sapphireladder_route_version", "gauge",
              m_snapshot->routes ? m_snapshot->routes->version() : 0},
             {"sapphireladder_targets", "gauge", m_upstreamEntries.size()},
+            {"sapphireladder_evacuated_zones", "gauge", m_snapshot->evacuatedZones.size()},
             {"sapphireladder_fleet_size", "gauge", m_snapshot->fleetSize},
             {"sapphireladder_caller_connections", "gauge", m_callerSessions.size()},
             {"sapphireladder_caller_connection_limit", "gauge", m_callerSessions.maxSessions()},
@@ -413,6 +457,7 @@
              m_allowances.client().collectorCount()},
             {"sapphireladder_allowance_delegated_share_millionths", "gauge",
              static_cast<std::uint64_t>(m_allowances.client().delegatedShare() * millionths)},
+            {"sapphireladder_cold_target_requests_total", "counter", m_upstreamCounters.sentToCold},
             {"sapphireladder_abandoned_total", "counter", m_abandonedCount},
     };
     std::ostringstream out;
--- a/Source/Process/Process.h
+++ b/Source/Process/Process.h
@@ -9,6 +9,7 @@
 #include "Process/AllowanceDelegation.h"
 #include "Process/AllowanceMessages.h"
 #include "Process/AllowancePool.h"
+#include "Process/ColdTargetShares.h"
 #include "Process/ControlMessage.h"
 #include "Process/ControlState.h"
 #include "Process/ControlTraffic.h"
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -163,7 +163,8 @@
     std::vector<SearchCandidate> candidates;
     candidates.reserve(m_candidates.size());
     for (const auto &it : m_candidates)
-        candidates.push_back({&it->stats(), it->spec().isLocal, &it->probeBudget()});
+        candidates.push_back({&it->stats(), it->spec().isLocal, &it->probeBudget(),
+                              m_attemptCount == 0 && it->isWarmupDue()});
     if (candidates.empty() && m_targetUsableAt) {
         perform(RefuseStep{RefusalReason::TargetsPaused});
         return;
@@ -226,6 +227,13 @@
 {
     if (!m_search)
         return;
+    // All candidates may have been excluded while the search waited.
+    const bool hasUsable = std::any_of(m_candidates.begin(), m_candidates.end(),
+                                       [](const auto &it) { return it->isUsable(); });
+    if (!hasUsable && !m_candidates.empty()) {
+        findTarget();
+        return;
+    }
     const auto step = m_search->next(m_environment.context().clock.now());
     std::visit([this](const auto &it) { perform(it); }, step);
 }
@@ -332,7 +340,7 @@
     const auto &attempt = m_attempts.add(
             {m_attemptCount, upstream, upstream->acquire(reuse), now, cost, isLatencyHedge});
     logAttempt(attempt);
-    upstream->stats().requestSent();
+    upstream->requestSent();
     UpstreamRequest request;
     request.bytes = encodeAttempt(*upstream, timeLeft);
     request.body = m_body;
