Connection, Request: Deliver no answer that was broken off or is invalid

Cause: a target answered a long upload without a length and reset the connection. The kernel reported the reset to the pending write, which UpstreamConnection ignored; the reading side then saw an orderly end and took the part as whole.

Change: a body without a length is whole only if the request is fully written, the close is orderly and no error is pending at the socket. Chunk lines and trailers follow the grammar. A 204 that announces a body ends its connection. A line end before a head is skipped also if it arrives in two parts, as it was in one.

--- a/Source/Connection/Http/ChunkSource.cpp
+++ b/Source/Connection/Http/ChunkSource.cpp
@@ -64,6 +64,12 @@
         receiveBytes(&c, 1, 0);
     if (m_error)
         return *m_error;
+    // The text is the size line, the trailer fields and an empty line.
+    std::string_view trailers(m_text);
+    trailers.remove_prefix(trailers.find(lineEnd, m_isFirstChunk ? 0 : lineEnd.size())
+                           + lineEnd.size());
+    if (!hasValidFields(trailers.substr(0, trailers.size() - lineEnd.size())))
+        return makeError(ConnectionError::BadFraming);
     return success();
 }
 
@@ -110,7 +116,7 @@
     constexpr int hexadecimal = 16;
     const auto [stop, ec] = std::from_chars(digits.data(), end, size, hexadecimal);
     if (line.size() == text.size() || line.size() > maxChunkLineBytes || digits.empty()
-        || ec != std::errc() || stop != end)
+        || ec != std::errc() || stop != end || !isFieldText(line))
         return std::nullopt;
     return size;
 }
--- a/Source/Connection/Loop/BodyDecoder.cpp
+++ b/Source/Connection/Loop/BodyDecoder.cpp
@@ -15,10 +15,14 @@
 std::optional<std::uint64_t> parseChunkSize(std::string_view line)
 {
     const auto digits = line.substr(0, line.find_first_of("; \t"));
+    const auto extension = line.find_first_not_of(" \t", digits.size());
+    if (extension != std::string_view::npos && line[extension] != ';')
+        return std::nullopt;
     const auto *end = digits.data() + digits.size();
     std::uint64_t size = 0;
     const auto [stop, ec] = std::from_chars(digits.data(), end, size, 16);
-    if (digits.empty() || digits.size() > maxChunkSizeDigits || ec != std::errc() || stop != end)
+    if (digits.empty() || digits.size() > maxChunkSizeDigits || ec != std::errc() || stop != end
+        || !isFieldText(line))
         return std::nullopt;
     return size;
 }
@@ -106,7 +110,7 @@
         // Trailer fields are discarded and not forwarded.
         if (m_line.empty())
             m_chunkState = ChunkState::Done;
-        return ReadProgress::NeedMore;
+        return hasValidFields(m_line) ? ReadProgress::NeedMore : ReadProgress::Malformed;
     case ChunkState::Data:
     case ChunkState::Done:
         break;
--- a/Source/Connection/Loop/HeadBuffer.cpp
+++ b/Source/Connection/Loop/HeadBuffer.cpp
@@ -13,9 +13,12 @@
 
 ReadProgress HeadBuffer::feed(std::string_view &input)
 {
-    // Empty lines before a message are ignored, as RFC 9112, 2.2 recommends for requests.
-    while (m_text.empty() && input.starts_with(lineEnd))
-        input.remove_prefix(lineEnd.size());
+    // Empty lines before a message are ignored, as RFC 9112, 2.2 recommends for requests. The
+    // two bytes of a line end may arrive in separate parts.
+    while (lineEnd.starts_with(m_text) && input.starts_with(lineEnd.substr(m_text.size()))) {
+        input.remove_prefix(lineEnd.size() - m_text.size());
+        m_text.clear();
+    }
     const auto before = m_text.size();
     m_text.append(input);
     const auto searchFrom = before < headTerminator.size() ? 0 : before - headTerminator.size() + 1;
--- a/Source/Connection/Loop/ResponseReader.cpp
+++ b/Source/Connection/Loop/ResponseReader.cpp
@@ -68,7 +68,11 @@
     const auto bodyFraming = hasNoBody ? BodyFraming::None
                                        : bodyFramingOf(framing->kind, BodyFraming::UntilClose);
     m_body = BodyDecoder(bodyFraming, framing->length, m_maxBodyBytes);
-    m_keepsConnection = Sapphireladder::isKeepAlive(head) && bodyFraming != BodyFraming::UntilClose;
+    // The sender may send the body that it announced, although the status forbids one.
+    const bool isBodyExpected = m_response.status == noContent
+                                && (framing->kind == FramingKind::Chunked || framing->length > 0);
+    m_keepsConnection = Sapphireladder::isKeepAlive(head) && bodyFraming != BodyFraming::UntilClose
+                        && !isBodyExpected;
     m_idleTimeout = parseIdleTimeout(head);
     m_hasHead = true;
     return ReadProgress::Complete;
--- a/Source/Connection/Loop/UpstreamConnection.cpp
+++ b/Source/Connection/Loop/UpstreamConnection.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 
+#include <sys/socket.h>
+
 namespace Sapphireladder {
 
 namespace {
@@ -89,7 +91,8 @@
     if (m_state != State::Busy)
         return;
     m_isRequestSent = !ec;
-    // Once the kernel has taken a part of the request, the reading side determines the result.
+    // Once the kernel has taken a part of the request, the reading side determines the result. As
+    // the request is not sent, only a response that tells its own end can be whole by then.
     if (ec && size == 0)
         fail({NotRun{RetryReason::StaleConnection}, {}, false, {}});
 }
@@ -178,14 +181,26 @@
            || (origin == ResponseOrigin::Unidentified && m_requestCount == 1);
 }
 
+bool UpstreamConnection::isWholeByClose(const boost::system::error_code &ec)
+{
+    // A target that closes before it has read the request may have broken off its response. The
+    // kernel reports a reset once: after a failed write the reading side sees an orderly close.
+    if (ec != boost::asio::error::eof || !m_isRequestSent || !m_reader->isCompletedByClose())
+        return false;
+    // A reset behind the close: the peer discarded a part of the request.
+    int pendingError = 0;
+    socklen_t size = sizeof pendingError;
+    return ::getsockopt(m_socket.native_handle(), SOL_SOCKET, SO_ERROR, &pendingError, &size) == 0
+           && pendingError == 0;
+}
+
 void UpstreamConnection::handleDisconnect(const boost::system::error_code &ec)
 {
     if (m_state != State::Busy) {
         close();
         return;
     }
-    const bool isOrderly = ec == boost::asio::error::eof;
-    if (isOrderly && m_reader->isCompletedByClose()) {
+    if (isWholeByClose(ec)) {
         handleResponse({});
         if (m_state == State::Closed)
             return;
--- a/Source/Connection/Loop/UpstreamConnection.h
+++ b/Source/Connection/Loop/UpstreamConnection.h
@@ -85,6 +85,8 @@
     void handleReadable();
     void handleInput(std::string_view input);
     void handleDisconnect(const boost::system::error_code &ec);
+    /** @return whether the end of the input completes a response without a length. */
+    bool isWholeByClose(const boost::system::error_code &ec);
     void handleResponse(std::string_view rest);
     /** @return whether a response belongs to the request in progress. */
     bool isOwnResponse(const Response &response) const;
--- a/Source/Request/Http/HeadParser.cpp
+++ b/Source/Request/Http/HeadParser.cpp
@@ -32,15 +32,6 @@
     return !text.empty() && std::all_of(text.begin(), text.end(), isTokenCharacter);
 }
 
-/** @return whether the text is valid in a field value: no control character but the tab. */
-bool isFieldText(std::string_view text)
-{
-    return std::all_of(text.begin(), text.end(), [](char c) {
-        const auto byte = static_cast<unsigned char>(c);
-        return c == '\t' || (byte >= ' ' && byte != 0x7f);
-    });
-}
-
 bool isSupportedVersion(std::string_view text)
 {
     return text == HTTPMessage::HTTP_1_0 || text == HTTPMessage::HTTP_1_1;
@@ -63,19 +54,6 @@
     return part;
 }
 
-/** @return whether each line is a field that all parsers read alike. */
-bool hasUnambiguousFields(std::string_view lines)
-{
-    while (!lines.empty()) {
-        const auto line = takeUntil(lines, "\r\n");
-        const auto colon = line.find(':');
-        if (colon == std::string_view::npos || !isToken(line.substr(0, colon))
-            || !isFieldText(line.substr(colon + 1)))
-            return false;
-    }
-    return true;
-}
-
 /**
  * Parses the head with POCO. POCO decodes RFC 2047 encoded words in fields, which are not part of
  * HTTP: a field would be passed on modified, or with a line end in it. While POCO parses, the "=?"
@@ -116,6 +94,26 @@
     return false;
 }
 
+bool isFieldText(std::string_view text)
+{
+    return std::all_of(text.begin(), text.end(), [](char c) {
+        const auto byte = static_cast<unsigned char>(c);
+        return c == '\t' || (byte >= ' ' && byte != 0x7f);
+    });
+}
+
+bool hasValidFields(std::string_view lines)
+{
+    while (!lines.empty()) {
+        const auto line = takeUntil(lines, "\r\n");
+        const auto colon = line.find(':');
+        if (colon == std::string_view::npos || !isToken(line.substr(0, colon))
+            || !isFieldText(line.substr(colon + 1)))
+            return false;
+    }
+    return true;
+}
+
 bool parseRequestHead(std::string_view head, HTTPRequest &message)
 {
     if (!parse(head, message))
@@ -125,7 +123,7 @@
     const auto line = message.getMethod() + ' ' + uri + ' ' + message.getVersion();
     return takeUntil(head, "\r\n") == line && isToken(message.getMethod())
            && std::all_of(uri.begin(), uri.end(), isVisibleAscii)
-           && isSupportedVersion(message.getVersion()) && hasUnambiguousFields(head);
+           && isSupportedVersion(message.getVersion()) && hasValidFields(head);
 }
 
 bool parseResponseHead(std::string_view head, HTTPResponse &message)
@@ -138,7 +136,7 @@
     auto line = takeUntil(head, "\r\n");
     return takeUntil(line, " ") == message.getVersion() && isSupportedVersion(message.getVersion())
            && takeUntil(line, " ") == std::to_string(status) && status >= minStatus
-           && status <= maxStatus && isFieldText(line) && hasUnambiguousFields(head);
+           && status <= maxStatus && isFieldText(line) && hasValidFields(head);
 }
 
 std::optional<MessageFraming> framingOf(const HTTPMessage &message)
--- a/Source/Request/Http/HeadParser.h
+++ b/Source/Request/Http/HeadParser.h
@@ -28,6 +28,16 @@
  * head. */
 bool hasBareLineFeed(std::string_view text);
 
+/** @return whether the text is valid in a field value: no control character but the tab. */
+bool isFieldText(std::string_view text);
+
+/**
+ * @param lines lines with CRLF between them
+ * @return whether each line is a field that all parsers read alike: a token, a colon, and a value
+ * without control characters.
+ */
+bool hasValidFields(std::string_view lines);
+
 /**
  * Parses the head of a request with POCO. Rejects folded lines, spaces before a colon and control
  * characters, which POCO accepts, since other parsers may read them differently.
--- a/Tests/Connection/MutationTest.cpp
+++ b/Tests/Connection/MutationTest.cpp
@@ -1,4 +1,5 @@
 #include "Connection/CallerFixture.h"
+#include "Connection/Loop/ConnectionLoop.h"
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -27,6 +28,12 @@
         "close",
         "Content-Length: 3\r\n",
         "HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 000 \r\n",
+        "HTTP/1.1 099 Low\r\n\r\n",
+        " :",
+        "X y: z\r\n",
+        "\x01",
+        "\x7f",
         "Transfer-Encoding: chunked\r\n",
 };
 
@@ -43,6 +50,18 @@
         "Transfer-Encoding: chunked\r\n\r\n2\r\nwh\r\n3\r\nole\r\n0\r\n\r\n",
 };
 
+/** Responses of each framing that the event loop reads. */
+const std::vector<std::string> validLoopResponses = {
+        validResponses[0],
+        validResponses[1],
+        "HTTP/1.1 200 OK\r\nX: y\r\n\r\nwhole until the close",
+        "HTTP/1.0 503 Busy\r\nContent-Length: 12\r\nRetry-After: 1\r\n\r\ntwelve bytes",
+        "HTTP/1.1 204 No Content\r\nX-Request-Id: request-1\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "a;x=y\r\n0123456789\r\n0\r\nX: y\r\n\r\n",
+};
+
 /** Replaces, removes, inserts or repeats a part of the text, or truncates it. */
 std::string mutate(std::string text, RandomSource &random)
 {
@@ -151,6 +170,120 @@
     CHECK(holds);
 }
 
+namespace {
+
+/** Reads a text as a response, as the event loop does. */
+struct MutatedReaderFixture
+{
+    /** Response that was accepted, and how its end was determined. */
+    struct Accepted
+    {
+        Response response;
+        bool isEndedByClose = false;
+    };
+
+    /** @param partBytes size of the parts in which the text arrives; the connection then closes */
+    static std::optional<Accepted> read(std::string_view text, std::size_t partBytes)
+    {
+        ResponseReader reader(false, kibibyte);
+        while (!text.empty()) {
+            auto part = text.substr(0, partBytes);
+            text.remove_prefix(part.size());
+            switch (reader.feed(part)) {
+            case ReadProgress::NeedMore:
+                break;
+            case ReadProgress::Complete:
+                return Accepted{reader.takeResponse(), false};
+            case ReadProgress::Malformed:
+            case ReadProgress::TooLarge:
+                return std::nullopt;
+            }
+        }
+        if (!reader.isCompletedByClose())
+            return std::nullopt;
+        return Accepted{reader.takeResponse(), true};
+    }
+
+    static bool isTokenName(std::string_view name)
+    {
+        constexpr std::string_view tokenCharacters = "!#$%&'*+-.^_`|~0123456789"
+                                                     "abcdefghijklmnopqrstuvwxyz"
+                                                     "ABCDEFGHIJKLMNOPQRSTUVWXYZ";
+        return !name.empty() && name.find_first_not_of(tokenCharacters) == std::string_view::npos;
+    }
+
+    static bool isTextValue(std::string_view value)
+    {
+        return std::none_of(value.begin(), value.end(), [](char c) {
+            const auto byte = static_cast<unsigned char>(c);
+            return (byte < ' ' && c != '\t') || byte == 0x7f;
+        });
+    }
+
+    static std::optional<std::string> find(const Response &response, std::string_view name)
+    {
+        for (const auto &it : response.headers) {
+            if (equalsIgnoringCase(it.name, name))
+                return it.value;
+        }
+        return std::nullopt;
+    }
+
+    /** @return whether the framing fields of the response allow its body to end where it did. */
+    static bool isEndedByFraming(const Accepted &accepted, const std::string &text)
+    {
+        const auto &[response, isEndedByClose] = accepted;
+        if (response.status == 204 || response.status == 304)
+            return response.body.empty() && !isEndedByClose;
+        const auto length = find(response, "Content-Length");
+        const bool isChunked = find(response, "Transfer-Encoding").has_value();
+        if (length && isChunked)
+            return false;
+        if (length)
+            return !isEndedByClose
+                   && std::to_string(response.body.size()) == std::to_string(std::stoull(*length));
+        if (isChunked)
+            return !isEndedByClose && isFramedBy(response.body, text);
+        return isEndedByClose && text.ends_with("\r\n\r\n" + response.body);
+    }
+};
+
+} // namespace
+
+// Guards against an accepted response with an invalid status or field name, or with a part of its
+// body, whatever the target sends (reports MIXED and of other operators).
+TEST_CASE_FIXTURE(MutatedReaderFixture,
+                  "response reader, mutated responses, accepts valid ones only")
+{
+    for (const auto &it : validLoopResponses) {
+        CAPTURE(it);
+        CHECK(read(it, 1));
+    }
+    const bool holds = rc::check([&] {
+        const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+        // Each case of the property stands for many mutations, as none of them needs a socket.
+        for (std::uint64_t n = 0; n < 20; ++n) {
+            const auto text = mutated(validLoopResponses, seed + n);
+            RC_LOG() << text;
+            const auto accepted = read(text, 1 + (seed + n) % 40);
+            RC_ASSERT(accepted.has_value() == read(text, 1).has_value());
+            if (!accepted)
+                continue;
+            const auto &response = accepted->response;
+            const auto status = std::to_string(response.status);
+            RC_ASSERT(response.status >= 200 && response.status <= 599);
+            RC_ASSERT(text.find("HTTP/1.1 " + status) != std::string::npos
+                      || text.find("HTTP/1.0 " + status) != std::string::npos);
+            for (const auto &it : response.headers) {
+                RC_ASSERT(isTokenName(it.name));
+                RC_ASSERT(isTextValue(it.value));
+            }
+            RC_ASSERT(isEndedByFraming(*accepted, text));
+        }
+    });
+    CHECK(holds);
+}
+
 // Guards against invalid requests that crash or hang the VM, or run with a different body.
 TEST_CASE_FIXTURE(CallerFixture, "caller, with mutated requests, is answered or refused")
 {
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -79,4 +79,45 @@
     CHECK(failures == 4);
 }
 
+/** A store whose response the test chooses, and that resets the connection after it. */
+struct ResettingStoreFixture
+{
+    unsigned countFailures(std::string text)
+    {
+        response = std::move(text);
+        unsigned failures = 0;
+        const auto count = [&](const auto &result) { failures += result.has_value() ? 0 : 1; };
+        client.writeMember(largeMember(), count);
+        io.restart();
+        io.run_for(5s);
+        return failures;
+    }
+
+    /** @return an entry whose row is larger than the socket buffers. */
+    static FleetMember largeMember()
+    {
+        return {VmId(std::string(16 * mebibyte, 'a')), ZoneName("z"), {"127.0.0.1", 1}, 1, {}};
+    }
+
+    std::string response;
+    ScriptedServer server{[this](RawSocket &socket, unsigned) {
+        socket.readUntil("\r\n\r\n");
+        socket.send(response);
+        socket.reset();
+    }};
+    boost::asio::io_context io;
+    SteadyClock clock;
+    LoopContext context{io, clock};
+    Platform::StoreClient client{context, server.endpoint()};
+};
+
+// Guards against a write that counts as done because the store's response without a length ended
+// with a reset while the write was being sent (report MIXED), or because its head was invalid.
+TEST_CASE_FIXTURE(ResettingStoreFixture, "store client, store resets during a write, write fails")
+{
+    CHECK(countFailures("HTTP/1.1 200 OK\r\n\r\n{}") == 1);
+    CHECK(countFailures("HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}") == 1);
+    CHECK(countFailures("HTTP/1.1 200 OK\r\nX y: z\r\nContent-Length: 2\r\n\r\n{}") == 1);
+}
+
 TEST_SUITE_END();
--- a/Tests/Process/GatewayTest.cpp
+++ b/Tests/Process/GatewayTest.cpp
@@ -58,6 +58,8 @@
     void repeatRefusal() { m_repeatsRefusal = true; }
     /** Closes each connection after the first response. */
     void closeAfterResponse() { m_closesAfterResponse = true; }
+    /** Resets each connection after the first response, without reading the request's body. */
+    void resetAfterResponse() { m_resetsAfterResponse = true; }
     /** @return connections on which bytes arrived after a request without a response. */
     unsigned reusedSilentConnections() const { return m_reusedSilentConnections; }
 
@@ -103,6 +105,10 @@
             }
             if (!socket.send(*reply) || m_closesAfterResponse)
                 return;
+            if (m_resetsAfterResponse) {
+                socket.reset();
+                return;
+            }
         }
     }
 
@@ -113,6 +119,7 @@
     std::atomic<unsigned> m_reportedLoad{0};
     std::atomic<bool> m_repeatsRefusal{false};
     std::atomic<bool> m_closesAfterResponse{false};
+    std::atomic<bool> m_resetsAfterResponse{false};
     std::atomic<unsigned long> m_lastTimeLeft{0};
     std::atomic<unsigned> m_reusedSilentConnections{0};
     ScriptedServer m_server{[this](RawSocket &socket, unsigned) { serve(socket); }};
@@ -171,6 +178,7 @@
     {
         RouteTableContent content;
         content.version = ++version;
+        content.limits.maxBodyBytes = maxBodyBytes;
         content.services.push_back({ServiceName("desk"), "/health", 100});
         Route route;
         route.name = "read";
@@ -212,6 +220,16 @@
         return socket.readResponse();
     }
 
+    /** Uploads a body. @return the response */
+    std::string upload(const std::string &path, std::size_t bodyBytes)
+    {
+        RawSocket socket(settings.callerEndpoint);
+        socket.send("PUT " + path + " HTTP/1.1\r\nHost: a\r\nAttempt-Id: r"
+                    + std::to_string(++requestCount) + "\r\nDeadline-Ms: 10000\r\nContent-Length: "
+                    + std::to_string(bodyBytes) + "\r\n\r\n" + std::string(bodyBytes, 'x'));
+        return socket.readResponse();
+    }
+
     /** Sends requests until one reaches the target, with pauses after which no load report is
      * current, so that the search considers all targets. */
     bool isReachedAgain(const ScriptedTarget &target)
@@ -252,6 +270,7 @@
     std::thread thread;
     Duration timeout = 1500ms;
     Duration latencyObjective = 250ms;
+    std::size_t maxBodyBytes = RequestLimits().maxBodyBytes;
     std::uint64_t version = 0;
     unsigned requestCount = 0;
 };
@@ -396,6 +415,66 @@
     CHECK(targets[0]->requestCount() >= 2);
 }
 
+// Guards against a part of a body for a caller whose long upload the target answered at once,
+// without a length, and then reset (report MIXED).
+TEST_CASE_FIXTURE(GatewayFixture, "gateway, target resets during a long upload, reports no success")
+{
+    timeout = 10s;
+    maxBodyBytes = 32 * mebibyte;
+    addTarget("resetting", [](const std::string &id) {
+        return "HTTP/1.1 200 OK\r\nAttempt-Id: " + id
+               + "\r\nServer-Load: 1,0,6,100\r\nServer-Signature: s\r\n\r\npart";
+    });
+    targets.back()->resetAfterResponse();
+    publish();
+    for (const auto *path : {"/read/x", "/write/x"}) {
+        CAPTURE(path);
+        const auto response = upload(path, 16 * mebibyte);
+        CAPTURE(response);
+        CHECK((response.starts_with("HTTP/1.1 502") || response.starts_with("HTTP/1.1 503")
+               || response.starts_with("HTTP/1.1 504")));
+        CHECK(response.find("part") == std::string::npos);
+    }
+    CHECK(targets[0]->requestCount() >= 2);
+}
+
+// Guards against an invalid head that reaches the caller (report of other operators).
+TEST_CASE_FIXTURE(GatewayFixture, "gateway, target sends invalid heads, passes none on")
+{
+    static constexpr std::string_view heads[] = {
+            "HTTP/1.1 000 \r\n", "HTTP/1.1 200 OK\r\nX y: z\r\n",
+            "HTTP/1.1 200 OK\r\nX\x01y: z\r\n", "HTTP/1.1 200 OK\r\n: z\r\n"};
+    std::atomic<std::size_t> next{0};
+    addTarget("invalid", [&next](const std::string &id) {
+        return std::string(heads[next++ % std::size(heads)]) + "Attempt-Id: " + id
+               + "\r\nServer-Load: 1,0,6,100\r\nServer-Signature: s\r\nContent-Length: "
+                 "3\r\n\r\nbad";
+    });
+    publish();
+    for (std::size_t i = 0; i < std::size(heads); ++i) {
+        const auto response = call("/write/x");
+        CHECK(response.starts_with("HTTP/1.1 502"));
+        CHECK(response.find("bad") == std::string::npos);
+    }
+}
+
+// Guards against an idempotent request that fails with an invalid head, although another target can
+// answer it.
+TEST_CASE_FIXTURE(GatewayFixture, "gateway, one target sends invalid heads, repeats the request")
+{
+    addTarget("invalid", [](const std::string &id) {
+        return "HTTP/1.1 000 \r\nAttempt-Id: " + id + "\r\nContent-Length: 3\r\n\r\nbad";
+    });
+    addTarget("valid", respond("200 OK", ""));
+    publish();
+    for (unsigned i = 0; i < 40; ++i) {
+        const auto response = call();
+        CHECK(response.starts_with("HTTP/1.1 200"));
+        CHECK(response.ends_with("whole"));
+    }
+    CHECK(targets[0]->requestCount() > 0);
+}
+
 // Guards against a request that is broken off at a working target and answered 504 before the
 // route's timeout, although no other target can run it.
 TEST_CASE_FIXTURE(SlowTargetFixture,
--- a/Tests/Process/PlatformClientTest.cpp
+++ b/Tests/Process/PlatformClientTest.cpp
@@ -46,4 +46,29 @@
     }
 }
 
+// Guards against a write that counts as done by a part of a response, or by an invalid one (report
+// MIXED and report of other operators).
+TEST_CASE("platform client, with invalid or broken off responses, has no response")
+{
+    for (const std::string_view response :
+         {"HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nX y: z\r\nContent-Length: 0\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nX\x01: z\r\nContent-Length: 0\r\n\r\n"}) {
+        CAPTURE(response);
+        ScriptedServer server([&](RawSocket &socket, unsigned) {
+            socket.readUntil("\r\n\r\n");
+            socket.send(response);
+            socket.reset();
+        });
+        const SteadyClock clock;
+        ControlTraffic traffic;
+        PlatformClient client(server.endpoint(), 5s, clock, traffic);
+        const std::string body(16 * mebibyte, 'x');
+        CHECK_FALSE(std::holds_alternative<CompleteResponse>(
+                client.call({"PUT", "/tables/a/b", {}, body})));
+        CHECK_FALSE(std::holds_alternative<CompleteResponse>(
+                client.call({"GET", "/tables/a/b", {}, {}})));
+    }
+}
+
 TEST_SUITE_END();
