--- a/Source/Core/Event.cpp
+++ b/Source/Core/Event.cpp
@@ -52,6 +52,7 @@
         {EventId::StoreUnavailable, Severity::Warning, "store-unavailable"},
         {EventId::StoreRecovered, Severity::Info, "store-recovered"},
         {EventId::VmListUnavailable, Severity::Warning, "vm-list-unavailable"},
+        {EventId::StoreReturned, Severity::Warning, "store-returned"},
         {EventId::DependencyLost, Severity::Warning, "dependency-lost"},
         {EventId::DependencyRegained, Severity::Info, "dependency-regained"},
         {EventId::TablesOutdated, Severity::Warning, "tables-outdated"},
--- a/Source/Core/Event.h
+++ b/Source/Core/Event.h
@@ -60,6 +60,7 @@
     StoreUnavailable = 600,
     StoreRecovered = 601,
     VmListUnavailable = 602,
+    StoreReturned = 605,
     DependencyLost = 610,
     DependencyRegained = 611,
     TablesOutdated = 612,
--- a/Source/Process/GatewayControl.cpp
+++ b/Source/Process/GatewayControl.cpp
@@ -32,6 +32,7 @@
 {
     m_origin = origin;
     m_freshness->set(table, origin.completeUntil);
+    m_freshness->setEra(origin.era);
 }
 
 void GatewayControl::routesReceived(RouteTableContent content)
--- a/Source/Process/GatewaySettings.h
+++ b/Source/Process/GatewaySettings.h
@@ -3,6 +3,8 @@
 #include "Core/Core.h"
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 
 namespace Sapphireladder {
 
@@ -53,6 +55,8 @@
     std::size_t maxDescriptors = 0;
     /** All VMs start for the first time, so the fleet list is still empty. */
     bool isFirstStart = false;
+    /** Seed of the random delays of calls to the store; the operating system's if unset. */
+    std::optional<std::uint64_t> randomSeed = std::nullopt;
 
     friend bool operator==(const GatewaySettings &, const GatewaySettings &) = default;
 };
--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -319,6 +319,8 @@
     const Row rows[] = {
             {"sapphireladder_routes_age_milliseconds", "gauge", ageMs(Dependency::RouteSource)},
             {"sapphireladder_targets_age_milliseconds", "gauge", ageMs(Dependency::TargetRegistry)},
+            {"sapphireladder_store_era", "gauge",
+             m_snapshot->freshness ? m_snapshot->freshness->era() : 0},
             {"sapphireladder_route_version", "gauge",
              m_snapshot->routes ? m_snapshot->routes->version() : 0},
             {"sapphireladder_targets", "gauge", m_upstreamEntries.size()},
--- a/Source/Process/Loop/PlatformSession.cpp
+++ b/Source/Process/Loop/PlatformSession.cpp
@@ -14,6 +14,13 @@
  */
 constexpr Duration fleetReadInterval = 15s;
 constexpr Duration fleetRetryDelay = 5s;
+/**
+ * Time for which VMs stay listed that the list lacks after the store returned from an older copy.
+ * They write their entries again when they learn of the return, and the list is read twice by then.
+ */
+constexpr Duration memberRetentionTime = 20s;
+/** Delay of the second read of the list after such a return. */
+constexpr Duration returnedFleetReadDelay = 3s;
 /** Delay before the list is read again after this VM added itself: others may do so, too. */
 constexpr Duration registrationDelay = 700ms;
 /**
@@ -65,10 +72,15 @@
     , m_storeFollowRule(m_freshnessBounds.maxAge)
     , m_fleetTimer(context.io)
     , m_superviseTimer(context.io)
+    , m_random(settings.randomSeed ? RandomSource(*settings.randomSeed)
+                                   : RandomSource::fromSystem())
     , m_isFirstStart(settings.isFirstStart)
 {
     m_followers.front().yieldTo(m_followers.back());
-    m_mirror.setChangeHandler([this] { m_server.respondToPending(); });
+    m_mirror.setChangeHandler([this] {
+        checkStoreEra();
+        m_server.respondToPending();
+    });
 }
 
 Result<> PlatformSession::start()
@@ -236,6 +248,7 @@
         }
         if (self.clients)
             m_clients.published(m_context.clock.now());
+        m_publishedClients = self.clients;
         m_isOwnEntryUnread = true;
         auto list = m_fleet;
         std::erase_if(list.members, [&self](const auto &it) { return it.vm == self.vm; });
@@ -248,6 +261,71 @@
     });
 }
 
+void PlatformSession::checkStoreEra()
+{
+    const auto era = std::max(m_mirror.position(RowTable::Routes).era,
+                              m_mirror.position(RowTable::Targets).era);
+    if (era <= m_storeEra)
+        return;
+    m_storeEra = era;
+    // The first read of this process is no return.
+    if (!m_mirror.hasChangedEra())
+        return;
+    m_events.record(EventId::StoreReturned, {{"era", std::to_string(era)}});
+    if (m_isFleetKnown && isFollowing())
+        scheduleFleetCall(registrationDelay, &PlatformSession::refreshFleet);
+}
+
+void PlatformSession::retainFleet(const FleetList &list)
+{
+    if (list.position.era <= m_fleet.position.era || m_fleet.position == StorePosition())
+        return;
+    m_retainedMembers = membersInForce();
+    m_retainedUntil = m_context.clock.now() + memberRetentionTime;
+    const auto own = std::find_if(m_fleet.members.begin(), m_fleet.members.end(),
+                                  [this](const auto &it) { return it.vm == m_self.vm; });
+    if (own != m_fleet.members.end()) {
+        m_entryToRestore = m_self;
+        // A list from another VM does not have the clients.
+        m_entryToRestore->clients = own->clients ? own->clients : m_publishedClients;
+    }
+}
+
+void PlatformSession::restoreEntry(const FleetList &list)
+{
+    if (!m_entryToRestore)
+        return;
+    const auto found = std::find_if(
+            list.members.begin(), list.members.end(),
+            [this](const auto &it) { return isSameRelay(it, *m_entryToRestore); });
+    if (found == list.members.end())
+        writeSelf(m_entryToRestore->clients);
+    else
+        m_entryToRestore.reset();
+}
+
+std::vector<FleetMember> PlatformSession::membersInForce() const
+{
+    auto members = m_fleet.members;
+    for (const auto &it : m_retainedMembers) {
+        const auto at = std::find_if(members.begin(), members.end(),
+                                     [&it](const auto &member) { return !(member.vm < it.vm); });
+        if (at == members.end() || at->vm != it.vm)
+            members.insert(at, it);
+    }
+    return members;
+}
+
+void PlatformSession::expireRetained(TimePoint now)
+{
+    m_mirror.expireRetained(now);
+    if (m_retainedMembers.empty() || now < m_retainedUntil)
+        return;
+    m_retainedMembers.clear();
+    m_plan.setFleet(m_fleet.members);
+    updateFleetSize(estimateFleetSize(m_fleet.members));
+}
+
 void PlatformSession::readFleet()
 {
     m_store.readMembers([this](Result<FleetList> list) { handleFleet(std::move(list)); });
@@ -278,21 +356,31 @@
     const auto now = m_context.clock.now();
     if (!std::exchange(m_isFleetKnown, true))
         m_storeFollowRule.start(m_isFirstStart, now);
+    // An answer from before the store's return.
+    if (list.value().position.era < m_fleet.position.era)
+        return;
+    retainFleet(list.value());
+    restoreEntry(list.value());
+    if (m_entryToRestore || !m_retainedMembers.empty())
+        scheduleFleetCall(returnedFleetReadDelay, &PlatformSession::refreshFleet);
+    const bool isOtherEra = list.value().position.era != m_fleet.position.era;
     const bool isNeeded = RelayRegistration::isNeeded(list.value().members, m_plan.failingVms(now),
                                                       m_self);
     // The position is kept if nothing changed, so that an unchanged list is not relayed again.
     const bool isChanged = list.value().members != m_fleet.members;
-    if (std::exchange(m_isOwnEntryUnread, false) || isChanged || m_fleet.position == 0)
+    if (std::exchange(m_isOwnEntryUnread, false) || isChanged || isOtherEra
+        || m_fleet.position == StorePosition())
         applyFleet(std::move(list.value()));
-    if (isNeeded)
+    if (isNeeded && m_retainedMembers.empty())
         writeSelf(std::nullopt);
 }
 
 void PlatformSession::applyFleet(FleetList list)
 {
     m_fleet = std::move(list);
-    m_plan.setFleet(m_fleet.members);
-    updateFleetSize(estimateFleetSize(m_fleet.members));
+    const auto members = membersInForce();
+    m_plan.setFleet(members);
+    updateFleetSize(estimateFleetSize(members));
     supervise();
 }
 
@@ -310,9 +398,11 @@
 {
     // Deferred to the timer, since this is called from within a link, which supervise() may close.
     if (list && list->position > m_fleet.position && !m_isOwnEntryUnread) {
+        retainFleet(*list);
         m_fleet = *list;
-        m_plan.setFleet(m_fleet.members);
+        m_plan.setFleet(membersInForce());
         scheduleSupervision(Duration::zero());
+        restoreEntry(*list);
     }
     updateFleetSize(fleetSize);
 }
@@ -338,6 +428,7 @@
 void PlatformSession::supervise()
 {
     const auto now = m_context.clock.now();
+    expireRetained(now);
     auto role = m_plan.role(now);
     if (role.isReader)
         m_clients.beginCounting(now);
--- a/Source/Process/Loop/PlatformSession.h
+++ b/Source/Process/Loop/PlatformSession.h
@@ -38,7 +38,7 @@
     // RelayLinkObserver
     void linkFailed(const FleetMember &member) override;
     void fleetReceived(const FleetList *list, unsigned fleetSize) override;
-    std::uint64_t fleetPosition() const override { return m_fleet.position; }
+    StorePosition fleetPosition() const override { return m_fleet.position; }
 
 private:
     TableFollower makeFollower(PlatformStore &store, RowTable table, Duration maxChangeDelay);
@@ -57,6 +57,15 @@
     void notifyOnStateChange();
     /** Writes this VM's entry in the fleet list. */
     void writeSelf(std::optional<VmHashes> clients);
+    /** Called after changes of rows: notices the return of the store from an older copy. */
+    void checkStoreEra();
+    /** Keeps what a list of a later era may lack until the VMs have written it again. */
+    void retainFleet(const FleetList &list);
+    /** Writes this VM's entry again if a list of the present era lacks it. */
+    void restoreEntry(const FleetList &list);
+    /** @return the listed VMs, and those retained from the previous era. */
+    std::vector<FleetMember> membersInForce() const;
+    void expireRetained(TimePoint now);
     void readFleet();
     void handleFleet(Result<FleetList> list);
     void applyFleet(FleetList list);
@@ -89,6 +98,15 @@
     RelayServer m_server;
     RelayPlan m_plan;
     FleetList m_fleet;
+    /** Entries of the previous era of the store, which their VMs write again. */
+    std::vector<FleetMember> m_retainedMembers;
+    TimePoint m_retainedUntil{};
+    /** This VM's entry of the previous era, until a list of this one has it. */
+    std::optional<FleetMember> m_entryToRestore;
+    /** The clients in the entry that this VM wrote last. */
+    std::optional<VmHashes> m_publishedClients;
+    /** The latest era of the store that this VM knows of. */
+    std::uint64_t m_storeEra = 0;
     unsigned m_fleetSize = 0;
     RelayClients m_clients;
     bool m_isWritingSelf = false;
@@ -98,7 +116,7 @@
     std::vector<std::shared_ptr<RelayLink>> m_links;
     LoopTimer m_fleetTimer;
     LoopTimer m_superviseTimer;
-    RandomSource m_random = RandomSource::fromSystem();
+    RandomSource m_random;
     /** Phase of the poll schedule, as a fraction of its interval. */
     const double m_pollPhase = m_random.unit();
     /** Whether the polls return at the interval of a relaying VM. */
--- a/Source/Process/Loop/RelayCodec.cpp
+++ b/Source/Process/Loop/RelayCodec.cpp
@@ -74,6 +74,13 @@
                        object["cores"].get<double>(), std::nullopt};
 }
 
+/** @return the era of a position; 0 if it is not stated. */
+std::uint64_t decodeEra(const Json &object)
+{
+    const auto it = object.find("era");
+    return it != object.end() && it->is_number_unsigned() ? it->get<std::uint64_t>() : 0;
+}
+
 std::optional<FleetList> decodeFleet(const Json &object)
 {
     if (!object.is_object() || !object.contains("position")
@@ -81,7 +88,7 @@
         || !object["members"].is_array())
         return std::nullopt;
     FleetList list;
-    list.position = object["position"].get<std::uint64_t>();
+    list.position = {object["position"].get<std::uint64_t>(), decodeEra(object)};
     for (const auto &it : object["members"]) {
         auto member = decodeMember(it);
         if (!member)
@@ -122,7 +129,7 @@
         || !object["rows"].is_array())
         return std::nullopt;
     RelayChanges::Table table;
-    table.position = object["position"].get<std::uint64_t>();
+    table.position = {object["position"].get<std::uint64_t>(), decodeEra(object)};
     table.isFullTable = object.contains("whole");
     for (const auto &it : object["rows"]) {
         auto row = decodeRow(it);
@@ -140,8 +147,8 @@
     Poco::URI uri;
     uri.setPath(std::string(relayPath));
     for (std::size_t i = 0; i < query.positions.size(); ++i)
-        uri.addQueryParameter(tableNames[i], std::to_string(query.positions[i]));
-    uri.addQueryParameter("fleet", std::to_string(query.fleetPosition));
+        uri.addQueryParameter(tableNames[i], std::to_string(query.positions[i].version));
+    uri.addQueryParameter("fleet", std::to_string(query.fleetPosition.version));
     uri.addQueryParameter("vm", query.vm.string());
     if (query.isImmediate)
         uri.addQueryParameter("immediate");
@@ -153,9 +160,9 @@
     if (!target.starts_with(relayPath))
         return std::nullopt;
     RelayQuery query;
-    std::map<std::string, std::uint64_t *> numbers = {{"fleet", &query.fleetPosition}};
+    std::map<std::string, std::uint64_t *> numbers = {{"fleet", &query.fleetPosition.version}};
     for (std::size_t i = 0; i < query.positions.size(); ++i)
-        numbers.emplace(tableNames[i], &query.positions[i]);
+        numbers.emplace(tableNames[i], &query.positions[i].version);
     try {
         for (const auto &[name, value] : Poco::URI(std::string(target)).getQueryParameters()) {
             if (name == "immediate") {
@@ -176,6 +183,31 @@
     return numbers.empty() && !query.vm.isEmpty() ? std::optional(query) : std::nullopt;
 }
 
+std::string encodeRelayEras(const RelayQuery &query)
+{
+    std::string value;
+    for (const auto &it : query.positions)
+        value += std::to_string(it.era) + ',';
+    return value + std::to_string(query.fleetPosition.era);
+}
+
+void decodeRelayEras(std::string_view value, RelayQuery &query)
+{
+    std::array<std::uint64_t, rowTableCount + 1> eras{};
+    for (auto &it : eras) {
+        const auto end = std::min(value.find(','), value.size());
+        const auto era = parseUnsigned(value.substr(0, end));
+        if (!era)
+            return;
+        it = era.value();
+        value.remove_prefix(std::min(end + 1, value.size()));
+    }
+    for (std::size_t i = 0; i < rowTableCount; ++i)
+        query.positions[i].era = eras[i];
+    query.fleetPosition.era = eras.back();
+    query.hasEras = true;
+}
+
 std::string encodeRelayTimes(const RelayTimes &times)
 {
     std::string value;
@@ -210,7 +242,8 @@
         auto rows = Json::array();
         for (const auto &it : changes.tables[i].rows)
             rows.push_back(encodeRow(it));
-        object[tableNames[i]] = {{"position", changes.tables[i].position},
+        object[tableNames[i]] = {{"position", changes.tables[i].position.version},
+                                 {"era", changes.tables[i].position.era},
                                  {"rows", std::move(rows)}};
         if (changes.tables[i].isFullTable)
             object[tableNames[i]]["whole"] = true;
@@ -220,7 +253,9 @@
         auto members = Json::array();
         for (const auto &it : changes.fleet->members)
             members.push_back(encodeMember(it));
-        object["fleet"] = {{"position", changes.fleet->position}, {"members", std::move(members)}};
+        object["fleet"] = {{"position", changes.fleet->position.version},
+                           {"era", changes.fleet->position.era},
+                           {"members", std::move(members)}};
     }
     // Rows of other writers may hold invalid UTF-8. Replacing it does no harm, since no usable
     // target record contains such bytes.
@@ -246,6 +281,7 @@
         if (!table)
             return makeError(ProcessError::PeerMessageInvalid, tableNames[i]);
         changes.tables[i] = std::move(*table);
+        changes.hasEras = object[tableNames[i]].contains("era");
     }
     if (object.contains("vms") && object["vms"].is_number_unsigned())
         changes.fleetSize = object["vms"].get<unsigned>();
--- a/Source/Process/Loop/RelayCodec.h
+++ b/Source/Process/Loop/RelayCodec.h
@@ -10,7 +10,7 @@
 namespace Sapphireladder {
 
 /** The position in each table's change history up to which a VM is up to date; 0 if unread. */
-using RelayPositions = std::array<std::uint64_t, rowTableCount>;
+using RelayPositions = std::array<StorePosition, rowTableCount>;
 
 /** A long-poll query of one VM to another for table changes. */
 struct RelayQuery
@@ -19,7 +19,7 @@
     VmId vm;
     RelayPositions positions{};
     /** Position of the fleet list that the VM knows; 0 if none. */
-    std::uint64_t fleetPosition = 0;
+    StorePosition fleetPosition;
     /** Respond at once, even if there are no changes. */
     bool isImmediate = false;
     /**
@@ -27,6 +27,8 @@
      * versions refuse a request target with unknown parameters.
      */
     std::optional<Duration> knownAge = std::nullopt;
+    /** Whether the positions state their eras, in a header field for the same reason. */
+    bool hasEras = false;
 
     friend bool operator==(const RelayQuery &, const RelayQuery &) = default;
 };
@@ -36,7 +38,7 @@
 {
     struct Table
     {
-        std::uint64_t position = 0;
+        StorePosition position;
         std::vector<SourceRow> rows;
         /** Whether the rows are the whole table rather than the changes. */
         bool isFullTable = false;
@@ -46,6 +48,8 @@
     unsigned fleetSize = 0;
     /** The fleet list, if it is newer than the one that the VM knows. */
     std::optional<FleetList> fleet;
+    /** Whether the positions state their eras. Older program versions know none. */
+    bool hasEras = false;
 };
 
 /**
@@ -60,6 +64,9 @@
 /** Header field of a query with RelayQuery::knownAge. */
 constexpr std::string_view knownAgeHeader = "Sapphireladder-Known-Age-Ms";
 
+/** Header field of a query with the eras of its positions: routes, targets, fleet list. */
+constexpr std::string_view storeErasHeader = "Sapphireladder-Store-Eras";
+
 /** Path of the relay endpoint. */
 constexpr std::string_view relayPath = "/relay/changes";
 
@@ -67,6 +74,10 @@
 std::string encodeRelayTarget(const RelayQuery &query);
 /** @return the query, or nothing if the request target is not a valid relay query. */
 std::optional<RelayQuery> decodeRelayTarget(std::string_view target);
+/** @return the value of the header field with the eras of a query's positions. */
+std::string encodeRelayEras(const RelayQuery &query);
+/** Sets the eras of a query's positions from the header field. An invalid value has no effect. */
+void decodeRelayEras(std::string_view value, RelayQuery &query);
 /** @return the value of the header field. */
 std::string encodeRelayTimes(const RelayTimes &times);
 /** @return the times, or nothing if the value is not valid. */
--- a/Source/Process/Loop/RelayLink.cpp
+++ b/Source/Process/Loop/RelayLink.cpp
@@ -82,7 +82,8 @@
                 .append(": ")
                 .append(std::to_string(toMilliseconds(m_queriedAt - *m_completeUntil)))
                 .append("\r\n");
-    request.bytes += "\r\n";
+    request.bytes.append(storeErasHeader).append(": ").append(encodeRelayEras(query));
+    request.bytes += "\r\n\r\n";
     request.maxResponseBodyBytes = maxResponseBytes;
     m_connection->exchange(std::move(request), queryTimeout,
                            [weak = weak_from_this()](const AttemptResult &result) {
@@ -100,14 +101,18 @@
     const bool hasResponse = answered && answered->response.status == ok;
     const auto changes = hasResponse ? decodeRelayChanges(answered->response.body)
                                      : makeError(ProcessError::PeerMessageInvalid);
-    if (!changes) {
+    // A relay of an older program version may hold rows from before the store's return.
+    const bool isUncertain = changes && !changes.value().hasEras && m_mirror.hasChangedEra();
+    if (!changes || isUncertain) {
         stop();
         m_observer.linkFailed(m_member);
         return;
     }
     applyChanges(changes.value(),
                  relayTimesOf(answered->response, m_context.clock.now() - m_queriedAt));
-    const auto &fleet = changes.value().fleet;
+    auto fleet = changes.value().fleet;
+    if (fleet && !changes.value().hasEras)
+        fleet->position.era = m_observer.fleetPosition().era;
     m_observer.fleetReceived(fleet ? &*fleet : nullptr, changes.value().fleetSize);
     if (m_isStopped)
         return;
@@ -121,18 +126,26 @@
 {
     const auto now = m_context.clock.now();
     auto completeUntil = now;
+    bool isOutdated = false;
     for (const auto table : rowTables) {
         const auto i = static_cast<std::size_t>(table);
         // The query was received after it was sent, so that this errs on the early side.
-        const TableOrigin origin{m_member.vm, std::min(now, m_queriedAt + times[i])};
-        completeUntil = std::min(completeUntil, origin.completeUntil);
         const auto &received = changes.tables[i];
+        auto position = received.position;
+        if (!changes.hasEras)
+            position.era = m_mirror.position(table).era;
+        const TableOrigin origin{m_member.vm, std::min(now, m_queriedAt + times[i]), position.era};
+        completeUntil = std::min(completeUntil, origin.completeUntil);
+        isOutdated = isOutdated
+                     || (m_mirror.isKnown(table) && position.era < m_mirror.position(table).era);
         if (received.isFullTable)
-            m_mirror.replaceAll(table, received.rows, received.position, origin);
+            m_mirror.replaceAll(table, received.rows, position, origin);
         else
-            m_mirror.apply(table, received.rows, received.position, origin);
+            m_mirror.apply(table, received.rows, position, origin);
     }
-    m_completeUntil = completeUntil;
+    // The mirror ignores rows from before the store's return, so they confirm nothing.
+    if (!isOutdated)
+        m_completeUntil = completeUntil;
 }
 
 } // namespace Sapphireladder
--- a/Source/Process/Loop/RelayLink.h
+++ b/Source/Process/Loop/RelayLink.h
@@ -23,7 +23,7 @@
      */
     virtual void fleetReceived(const FleetList *list, unsigned fleetSize) = 0;
     /** @return position of the known fleet list. */
-    virtual std::uint64_t fleetPosition() const = 0;
+    virtual StorePosition fleetPosition() const = 0;
 };
 
 /** Long-polls one other VM for table changes and applies them to the mirror. */
--- a/Source/Process/Loop/RelayServer.cpp
+++ b/Source/Process/Loop/RelayServer.cpp
@@ -11,15 +11,19 @@
 /** Responses kept encoded. VMs that lag behind send queries with different positions. */
 constexpr std::size_t maxCachedResponses = 16;
 
-std::optional<Duration> findKnownAge(std::span<const HeaderField> headers)
+/** @return the value of a header field; empty if it is missing. */
+std::string_view findField(std::span<const HeaderField> headers, std::string_view name)
 {
-    const auto it = std::find_if(headers.begin(), headers.end(), [](const auto &field) {
-        return equalsIgnoringCase(field.name, knownAgeHeader);
+    const auto it = std::find_if(headers.begin(), headers.end(), [name](const auto &field) {
+        return equalsIgnoringCase(field.name, name);
     });
-    if (it == headers.end())
-        return std::nullopt;
+    return it == headers.end() ? std::string_view() : it->value;
+}
+
+std::optional<Duration> findKnownAge(std::span<const HeaderField> headers)
+{
     constexpr std::uint64_t maxAgeMs = 1'000'000'000;
-    const auto ms = parseUnsigned(it->value);
+    const auto ms = parseUnsigned(findField(headers, knownAgeHeader));
     if (!ms || ms.value() > maxAgeMs)
         return std::nullopt;
     return std::chrono::milliseconds(ms.value());
@@ -100,6 +104,13 @@
         return nullptr;
     }
     query->knownAge = findKnownAge(request.headers);
+    decodeRelayEras(findField(request.headers, storeErasHeader), *query);
+    if (!query->hasEras) {
+        // An older program version knows no eras. It gets the changes by the version alone.
+        for (const auto table : rowTables)
+            query->positions[static_cast<std::size_t>(table)].era = m_mirror.position(table).era;
+        query->fleetPosition.era = m_host.fleet().position.era;
+    }
     m_host.queryReceived(query->vm);
     auto pending = std::make_shared<PendingQuery>(*this, *query, std::move(reply));
     m_pendingQueries.push_back(pending);
@@ -108,6 +119,13 @@
     return pending;
 }
 
+bool RelayServer::isBehind(const RelayQuery &query) const
+{
+    return std::any_of(rowTables.begin(), rowTables.end(), [&](auto table) {
+        return query.positions[static_cast<std::size_t>(table)].era > m_mirror.position(table).era;
+    });
+}
+
 bool RelayServer::isMoreRecent(const RelayQuery &query, TimePoint receivedAt) const
 {
     if (!query.knownAge)
@@ -136,6 +154,11 @@
         return std::nullopt;
     if (state != RelayState::UpToDate)
         return Refusal{RefusalReason::NoPreset};
+    // This VM's rows would go back behind what the other VM knows. Its next response of the store
+    // brings the new ones.
+    if (isBehind(query))
+        return isTimedOut ? std::optional<RequestOutcome>(Refusal{RefusalReason::NoPreset})
+                          : std::nullopt;
     const auto changes = changesFor(query);
     if (changes)
         return makeResponse(*changes, receivedAt);
@@ -150,10 +173,16 @@
 
 std::shared_ptr<const std::string> RelayServer::changesFor(const RelayQuery &query)
 {
-    CacheKey key = {query.fleetPosition, m_host.fleet().position, m_host.fleetSize()};
+    CacheKey key = {m_host.fleetSize()};
+    const auto add = [&key](const StorePosition &position) {
+        key.push_back(position.era);
+        key.push_back(position.version);
+    };
+    add(query.fleetPosition);
+    add(m_host.fleet().position);
     for (const auto table : rowTables) {
-        key.push_back(query.positions[static_cast<std::size_t>(table)]);
-        key.push_back(m_mirror.position(table));
+        add(query.positions[static_cast<std::size_t>(table)]);
+        add(m_mirror.position(table));
     }
     const auto it = m_cache.find(key);
     if (it != m_cache.end())
--- a/Source/Process/Loop/RelayServer.h
+++ b/Source/Process/Loop/RelayServer.h
@@ -76,6 +76,8 @@
                                              bool isTimedOut);
     /** @return whether this VM's tables are more recent than those of the VM with the query. */
     bool isMoreRecent(const RelayQuery &query, TimePoint receivedAt) const;
+    /** @return whether the VM with the query knows a later return of the store than this VM. */
+    bool isBehind(const RelayQuery &query) const;
     /** @return a response that states how recent it is. */
     RequestOutcome makeResponse(std::string body, TimePoint receivedAt) const;
     /** @return the encoded changes since the query's positions; nothing if there are none. */
--- a/Source/Process/Loop/TableFollower.cpp
+++ b/Source/Process/Loop/TableFollower.cpp
@@ -97,6 +97,14 @@
         handleFailure(page.error());
         return;
     }
+    const bool isOtherEra = !m_rowsRead.empty()
+                            && page.value().position.era != m_firstPagePosition.era;
+    if (isOutdated(page.value()) || isOtherEra) {
+        // The pages of a read must be of one era, and not of an earlier one than the rows known.
+        m_rowsRead.clear();
+        handleFailure(makeError(ProcessError::StoreResponseInvalid, "era"));
+        return;
+    }
     auto &rows = page.value().rows;
     if (m_rowsRead.empty()) {
         // Rows that change while later pages are read are delivered again as changes.
@@ -128,16 +136,18 @@
     if (m_nextResponseDue && !isFailing())
         m_wait = std::max<Duration>(Duration::zero(), std::chrono::floor<std::chrono::milliseconds>(
                                                               *m_nextResponseDue - m_calledAt));
-    m_store.awaitChanges(m_table, m_mirror.position(m_table), m_wait,
+    m_store.awaitChanges(m_table, m_mirror.position(m_table).version, m_wait,
                          makeHandler(&TableFollower::handleChanges));
 }
 
 TableOrigin TableFollower::originOf(const SourceRows &response)
 {
+    m_storeClock.eraSeen(response.position.era);
     // The store holds a response without changes for the whole wait.
     const auto earliest = response.rows.empty() ? m_calledAt + m_wait : m_calledAt;
     return {{},
-            m_storeClock.responseMadeAfter(earliest, m_context.clock.now(), response.storeTime)};
+            m_storeClock.responseMadeAfter(earliest, m_context.clock.now(), response.storeTime),
+            response.position.era};
 }
 
 void TableFollower::handleChanges(Result<SourceRows> changes)
@@ -150,6 +160,16 @@
             handleFailure(changes.error());
         return;
     }
+    if (isOutdated(changes.value())) {
+        handleFailure(makeError(ProcessError::StoreResponseInvalid, "era"));
+        return;
+    }
+    if (changes.value().position.era > m_mirror.position(m_table).era) {
+        // The store has returned from an older copy, which has other rows and versions.
+        m_isHistoryGone = true;
+        callNext();
+        return;
+    }
     m_failureCount = 0;
     const auto origin = originOf(changes.value());
     m_completeUntil = origin.completeUntil;
--- a/Source/Process/Loop/TableFollower.h
+++ b/Source/Process/Loop/TableFollower.h
@@ -67,6 +67,11 @@
     std::optional<TimePoint> completeUntil() const { return m_completeUntil; }
 
 private:
+    /** @return whether a response is from before the store's last return from an older copy. */
+    bool isOutdated(const SourceRows &response) const
+    {
+        return m_mirror.isKnown(m_table) && response.position.era < m_mirror.position(m_table).era;
+    }
     bool needsFullRead() const { return m_isHistoryGone || !m_mirror.isKnown(m_table); }
     void callNext();
     void readPage();
@@ -107,7 +112,7 @@
     /** Rows of the pages read so far, while the full table is read. */
     std::vector<SourceRow> m_rowsRead;
     /** Position at which the first page was read. */
-    std::uint64_t m_firstPagePosition = 0;
+    StorePosition m_firstPagePosition;
     /** Origin of the first page. */
     TableOrigin m_firstPageOrigin;
     TimePoint m_calledAt{};
--- a/Source/Process/PlatformFeed.h
+++ b/Source/Process/PlatformFeed.h
@@ -4,6 +4,7 @@
 #include "Process/TargetDirectory.h"
 #include "Version/Version.h"
 
+#include <cstdint>
 #include <span>
 
 namespace Sapphireladder {
@@ -28,6 +29,8 @@
     VmId relay;
     /** The copy has all changes that the store confirmed before this time. */
     TimePoint completeUntil{};
+    /** Era of the store that the copy is from. */
+    std::uint64_t era = 0;
 
     /** @return the name of the source for logs and metrics. */
     std::string name() const { return relay.isEmpty() ? "store" : relay.string(); }
--- a/Source/Process/PlatformStore.h
+++ b/Source/Process/PlatformStore.h
@@ -4,6 +4,7 @@
 #include "Process/PlatformFeed.h"
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -27,13 +28,32 @@
 /** @return the dependency that provides the table. */
 Dependency dependencyOf(RowTable table);
 
+/**
+ * A point in the history of the store. The store's revisions go back when it returns from an older
+ * copy; its era rises by one with each such return. Positions of a later era are later ones.
+ */
+struct StorePosition
+{
+    StorePosition() = default;
+    StorePosition(std::uint64_t revision, std::uint64_t storeEra = 0)
+        : era(storeEra)
+        , version(revision)
+    {}
+
+    std::uint64_t era = 0;
+    /** Revision of the store in the era. */
+    std::uint64_t version = 0;
+
+    friend auto operator<=>(const StorePosition &, const StorePosition &) = default;
+};
+
 /** One row of a table. */
 struct SourceRow
 {
     std::string key;
     /** Encoded value as the platform stores it; empty if the row was deleted. */
     std::string value;
-    /** Store-wide revision of the row's last change. */
+    /** Store-wide revision of the row's last change, in the era of the table. */
     std::uint64_t version = 0;
     bool isDeleted = false;
 
@@ -44,8 +64,8 @@
 struct SourceRows
 {
     std::vector<SourceRow> rows;
-    /** Store revision that the response reflects: no change up to it is missing. */
-    std::uint64_t position = 0;
+    /** Position that the response reflects: no change of its era up to it is missing. */
+    StorePosition position;
     /** More rows follow in the next page. */
     bool isTruncated = false;
     /** Steady clock of the store when it made the response, if stated. */
@@ -74,8 +94,8 @@
 struct FleetList
 {
     std::vector<FleetMember> members;
-    /** Store revision that the list reflects. */
-    std::uint64_t position = 0;
+    /** Position that the list reflects. */
+    StorePosition position;
 };
 
 /** Calls to the platform's store. Handlers are called on the control thread. */
--- a/Source/Process/RowMirror.cpp
+++ b/Source/Process/RowMirror.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace Sapphireladder {
 
@@ -24,41 +25,89 @@
     m_feed.tableUpdated(dependencyOf(table), origin);
 }
 
-void RowMirror::replaceAll(RowTable table, std::span<const SourceRow> rows, std::uint64_t position,
-                           const TableOrigin &origin)
+void RowMirror::beginEra(TableState &table, std::span<const SourceRow> rows)
+{
+    auto previous = std::exchange(table.rows, {});
+    for (auto &[key, row] : previous) {
+        if (!row.isDeleted)
+            table.retained.insert_or_assign(key, std::move(row));
+    }
+    for (const auto &it : rows)
+        table.retained.erase(it.key);
+    table.retainedUntil.reset();
+    table.tombstones = 0;
+    // The sources of an earlier era have no changes that lead to this one.
+    table.isKnown = false;
+    table.hasChangedEra = true;
+}
+
+bool RowMirror::hasChangedEra() const
+{
+    return std::any_of(m_tables.begin(), m_tables.end(),
+                       [](const auto &it) { return it.hasChangedEra; });
+}
+
+bool RowMirror::expireRetained(TimePoint now)
+{
+    bool isRetaining = false;
+    for (const auto table : rowTables) {
+        auto &local = stateOf(table);
+        if (local.retained.empty())
+            continue;
+        if (!local.retainedUntil)
+            local.retainedUntil = now + retentionTime;
+        if (now < *local.retainedUntil) {
+            isRetaining = true;
+            continue;
+        }
+        std::vector<SourceRow> expired;
+        for (const auto &[key, row] : std::exchange(local.retained, {}))
+            expired.push_back({key, {}, local.position.version, true});
+        m_translator.translateChanges(table, expired, m_feed);
+        m_feed.changesComplete();
+    }
+    return isRetaining;
+}
+
+void RowMirror::replaceAll(RowTable table, std::span<const SourceRow> rows,
+                           const StorePosition &position, const TableOrigin &origin)
 {
     auto &local = stateOf(table);
     // A peer may have relayed newer changes while the read was in flight.
     if (local.isKnown && position < local.position)
         return;
+    if (local.isKnown && position.era > local.position.era)
+        beginEra(local, rows);
     std::set<std::string_view> present;
     for (const auto &it : rows) {
         present.insert(it.key);
         storeIfNewer(local, it);
     }
     for (auto &[key, row] : local.rows) {
-        if (!row.isDeleted && row.version <= position && !present.contains(key)) {
-            row = {key, {}, position, true};
+        if (!row.isDeleted && row.version <= position.version && !present.contains(key)) {
+            row = {key, {}, position.version, true};
             ++local.tombstones;
         }
     }
     local.position = std::max(local.position, position);
     // Rows deleted before the first read are unknown.
     if (!local.isKnown)
-        local.completeSince = position;
+        local.completeSince = position.version;
     local.isKnown = true;
     m_feed.dependencyResponded(dependencyOf(table));
     updateOrigin(table, origin);
-    m_translator.translateAll(table, allRows(table), m_feed);
+    m_translator.translateAll(table, rowsInForce(table), m_feed);
     m_feed.changesComplete();
     if (m_changeHandler)
         m_changeHandler();
 }
 
-bool RowMirror::apply(RowTable table, std::span<const SourceRow> rows, std::uint64_t position,
-                      const TableOrigin &origin)
+bool RowMirror::apply(RowTable table, std::span<const SourceRow> rows,
+                      const StorePosition &position, const TableOrigin &origin)
 {
     auto &local = stateOf(table);
+    if (position.era != local.position.era)
+        return false;
     std::vector<SourceRow> newer;
     for (const auto &it : rows) {
         if (storeIfNewer(local, it))
@@ -79,6 +128,7 @@
 
 bool RowMirror::storeIfNewer(TableState &table, const SourceRow &row)
 {
+    table.retained.erase(row.key);
     auto &known = table.rows[row.key];
     if (known.version >= row.version && !known.key.empty())
         return false;
@@ -115,15 +165,24 @@
     return rows;
 }
 
+std::vector<SourceRow> RowMirror::rowsInForce(RowTable table) const
+{
+    auto rows = allRows(table);
+    for (const auto &[key, row] : stateOf(table).retained)
+        rows.push_back(row);
+    return rows;
+}
+
 std::optional<std::vector<SourceRow>> RowMirror::changesSince(RowTable table,
-                                                              std::uint64_t position) const
+                                                              const StorePosition &position) const
 {
     const auto &local = stateOf(table);
-    if (!local.isKnown || position < local.completeSince)
+    if (!local.isKnown || position.era != local.position.era
+        || position.version < local.completeSince)
         return std::nullopt;
     std::vector<SourceRow> rows;
     for (const auto &[key, row] : local.rows) {
-        if (row.version > position)
+        if (row.version > position.version)
             rows.push_back(row);
     }
     std::sort(rows.begin(), rows.end(),
--- a/Source/Process/StoreClock.cpp
+++ b/Source/Process/StoreClock.cpp
@@ -14,6 +14,14 @@
 
 } // namespace
 
+void StoreClock::eraSeen(std::uint64_t era)
+{
+    if (era <= m_era)
+        return;
+    m_era = era;
+    m_minOffset.reset();
+}
+
 TimePoint StoreClock::responseMadeAfter(TimePoint earliest, TimePoint now,
                                         std::optional<Duration> storeTime)
 {
--- a/Source/Process/StoreClock.h
+++ b/Source/Process/StoreClock.h
@@ -2,6 +2,7 @@
 
 #include "Core/Core.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace Sapphireladder {
@@ -23,7 +24,11 @@
     TimePoint responseMadeAfter(TimePoint earliest, TimePoint now,
                                 std::optional<Duration> storeTime);
 
+    /** Forgets the store's clock once for each later era: it may have been set with the return. */
+    void eraSeen(std::uint64_t era);
+
 private:
+    std::uint64_t m_era = 0;
     /** Lower bound of this VM's clock less the store's, as of m_measuredAt. */
     std::optional<Duration> m_minOffset;
     TimePoint m_measuredAt{};
--- a/Source/Process/TableFreshness.h
+++ b/Source/Process/TableFreshness.h
@@ -15,6 +15,9 @@
 {
 public:
     void set(Dependency table, TimePoint completeUntil) { timeOf(table) = completeUntil; }
+    /** @param era era of the store that a table is from */
+    void setEra(std::uint64_t era) { m_era = era; }
+    std::uint64_t era() const { return m_era; }
     /** @return the age of the copy, or zero before the first one. */
     Duration age(Dependency table, TimePoint now) const
     {
@@ -33,6 +36,7 @@
     }
 
     std::array<std::atomic<TimePoint>, static_cast<std::size_t>(Dependency::Count)> m_times{};
+    std::atomic<std::uint64_t> m_era{0};
 };
 
 } // namespace Sapphireladder
--- a/Tests/Platform/OddRowsTest.cpp
+++ b/Tests/Platform/OddRowsTest.cpp
@@ -117,7 +117,7 @@
     CHECK(events.longestField <= 300);
 
     // A second read of the same rows is not logged again.
-    mirror.replaceAll(RowTable::Targets, all.rows, all.position + 1, {});
+    mirror.replaceAll(RowTable::Targets, all.rows, all.position.version + 1, {});
     CHECK(events.rejected == oddValues().size());
     CHECK(sink.last->targets.size() == 1);
 
--- a/Tests/Platform/StoreClientTest.cpp
+++ b/Tests/Platform/StoreClientTest.cpp
@@ -120,4 +120,33 @@
     CHECK(countFailures("HTTP/1.1 200 OK\r\nX y: z\r\nContent-Length: 2\r\n\r\n{}") == 1);
 }
 
+/** A store that states its era in the header of each response. */
+struct StoreEraFixture
+{
+    ScriptedServer server{[](RawSocket &socket, unsigned) {
+        while (socket.readUntil("\r\n\r\n").ends_with("\r\n\r\n"))
+            socket.send("HTTP/1.1 200 OK\r\nstore-era: 4\r\nContent-Length: 20\r\n\r\n"
+                        R"({"rows":[],"ver": 7})");
+    }};
+    boost::asio::io_context io;
+    SteadyClock clock;
+    LoopContext context{io, clock};
+    Platform::StoreClient client{context, server.endpoint()};
+};
+
+// Guards against a return of the store from an older copy that goes unnoticed in some call.
+TEST_CASE_FIXTURE(StoreEraFixture, "store client, store states its era, positions have it")
+{
+    std::vector<StorePosition> positions;
+    const auto collect = [&](const auto &result) {
+        REQUIRE(result);
+        positions.push_back(result.value().position);
+    };
+    client.readRows(RowTable::Routes, {}, collect);
+    client.awaitChanges(RowTable::Targets, 1, Duration::zero(), collect);
+    client.readMembers(collect);
+    io.run_for(1s);
+    CHECK(positions == std::vector<StorePosition>(3, StorePosition(7, 4)));
+}
+
 TEST_SUITE_END();
--- a/Tests/Process/FleetRelayTest.cpp
+++ b/Tests/Process/FleetRelayTest.cpp
@@ -3,7 +3,9 @@
 #include <boost/asio/post.hpp>
 #include <doctest/doctest.h>
 
+#include <cstdlib>
 #include <list>
+#include <random>
 
 #include <unistd.h>
 
@@ -22,6 +24,15 @@
         std::function<void()> respond;
     };
 
+    /** What a copy of the store holds. */
+    struct Copy
+    {
+        std::uint64_t position;
+        std::array<std::map<std::string, SourceRow>, rowTableCount> tables;
+        std::vector<FleetMember> members;
+    };
+
+    std::uint64_t era = 0;
     std::uint64_t position = 1;
     std::array<std::map<std::string, SourceRow>, rowTableCount> tables;
     std::vector<FleetMember> members;
@@ -30,9 +41,23 @@
     std::uint64_t immediateCalls = 0;
     std::list<PendingPoll> pendingPolls;
 
-    void put(const std::string &key, RowTable table = RowTable::Targets)
+    Copy copy() const { return {position, tables, members}; }
+
+    /** The store comes back from an older copy. */
+    void returnFrom(const Copy &copy)
     {
-        tables[static_cast<std::size_t>(table)][key] = {key, "value", ++position, false};
+        ++era;
+        position = copy.position;
+        tables = copy.tables;
+        members = copy.members;
+        for (const auto &it : std::exchange(pendingPolls, {}))
+            it.respond();
+    }
+
+    void put(const std::string &key, RowTable table = RowTable::Targets,
+             const std::string &value = "value")
+    {
+        tables[static_cast<std::size_t>(table)][key] = {key, value, ++position, false};
         for (const auto &it : std::exchange(pendingPolls, {})) {
             if (it.table == table)
                 it.respond();
@@ -81,7 +106,8 @@
                         false);
         };
         const auto sharedReply = std::make_shared<std::function<void()>>(std::move(reply));
-        if (rowsAfter(table, position).value().rows.empty())
+        const auto rows = rowsAfter(table, position);
+        if (rows && rows.value().rows.empty())
             m_content.pendingPolls.push_back({table, [sharedReply] { (*sharedReply)(); }});
         else
             wait = Duration::zero();
@@ -89,7 +115,10 @@
         timer->async_wait([sharedReply](const auto &) { (*sharedReply)(); });
     }
 
-    bool isHistoryGone(const Error &) const override { return false; }
+    bool isHistoryGone(const Error &error) const override
+    {
+        return error.code == ProcessError::StoreResponseInvalid;
+    }
 
     void writeMember(const FleetMember &member, WriteHandler handler) override
     {
@@ -103,7 +132,8 @@
     {
         respond(
                 [this] {
-                    return Result<FleetList>(FleetList{m_content.members, m_content.position});
+                    return Result<FleetList>(
+                            FleetList{m_content.members, {m_content.position, m_content.era}});
                 },
                 std::move(handler));
     }
@@ -113,8 +143,11 @@
 private:
     Result<SourceRows> rowsAfter(RowTable table, std::uint64_t position) const
     {
+        // The store has no such version, as after its return from an older copy.
+        if (position > m_content.position)
+            return makeError(ProcessError::StoreResponseInvalid);
         SourceRows found;
-        found.position = m_content.position;
+        found.position = {m_content.position, m_content.era};
         found.storeTime = std::chrono::floor<std::chrono::milliseconds>(
                 std::chrono::steady_clock::now().time_since_epoch());
         for (const auto &[key, row] : m_content.tables[static_cast<std::size_t>(table)]) {
@@ -153,11 +186,28 @@
     unsigned m_lossChanges = 0;
 };
 
-class NullTranslator final : public RowTranslator
+/** Keeps the rows that are in force at a VM. */
+class RowRecorder final : public RowTranslator
 {
 public:
-    void translateAll(RowTable, std::span<const SourceRow>, PlatformFeed &) const override {}
-    void translateChanges(RowTable, std::span<const SourceRow>, PlatformFeed &) const override {}
+    void translateAll(RowTable table, std::span<const SourceRow> rows,
+                      PlatformFeed &feed) const override
+    {
+        tables[static_cast<std::size_t>(table)].clear();
+        translateChanges(table, rows, feed);
+    }
+    void translateChanges(RowTable table, std::span<const SourceRow> rows,
+                          PlatformFeed &) const override
+    {
+        for (const auto &it : rows) {
+            if (it.isDeleted)
+                tables[static_cast<std::size_t>(table)].erase(it.key);
+            else
+                tables[static_cast<std::size_t>(table)][it.key] = it.value;
+        }
+    }
+
+    mutable std::array<std::map<std::string, std::string>, rowTableCount> tables;
 };
 
 class NullSink final : public SnapshotSink
@@ -210,7 +260,7 @@
 
     GatewaySettings settings;
     FakeStore store;
-    NullTranslator translator;
+    RowRecorder translator;
     ChangeCounter feed;
     RoleRecorder log;
     PlatformSession session;
@@ -250,6 +300,7 @@
                                   static_cast<std::uint16_t>(firstPort + static_cast<int>(i))};
         settings.isFirstStart = isFirstStart;
         settings.cores = 0.2;
+        settings.randomSeed = seed + i;
         vms.push_back(std::make_unique<RelayVm>(context, content, settings));
         REQUIRE(vms.back()->session.start());
     }
@@ -274,6 +325,13 @@
                 vms.begin(), vms.end(), [](const auto &it) { return it->feed.changes > 0; }));
     }
 
+    /** @return the VMs that follow the store without other VMs that they relay changes to. */
+    std::size_t countFollowers() const
+    {
+        return static_cast<std::size_t>(std::count_if(
+                vms.begin(), vms.end(), [](const auto &it) { return it->log.role == "alone"; }));
+    }
+
     unsigned countLinkFailures() const
     {
         unsigned n = 0;
@@ -288,6 +346,15 @@
             it->feed.changes = 0;
     }
 
+    /** @return the seed in the environment, so that a failed run can be repeated, or a new one. */
+    static std::uint64_t chooseSeed()
+    {
+        const char *text = std::getenv("SAPPHIRELADDER_FLEET_SEED");
+        return text ? std::strtoull(text, nullptr, 10) : std::random_device()();
+    }
+
+    /** Of the delays of all VMs. The order of their calls also depends on the machine. */
+    const std::uint64_t seed = chooseSeed();
     boost::asio::io_context io;
     SteadyClock clock;
     LoopContext context{io, clock};
@@ -308,8 +375,11 @@
 // not follow the store yet, and reads the store itself.
 TEST_CASE_FIXTURE(FleetRelayFixture, "fleet relay, all VMs start, only the readers read the store")
 {
+    CAPTURE(seed);
     run(5s);
     CAPTURE(content.members.size());
+    CAPTURE(countLinkFailures());
+    CAPTURE(countFollowers());
     CHECK(countUpdatedVms() == vmCount);
     CHECK(content.calls <= vmCount * startupCallsPerVm + readerCount * maxCallsPerReader);
 }
@@ -318,6 +388,7 @@
 // changes for a while before it calls the store again.
 TEST_CASE_FIXTURE(FleetRelayFixture, "fleet relay, targets change, every VM keeps its reader")
 {
+    CAPTURE(seed);
     run(5s);
     const auto callsBefore = content.calls;
     const auto linkFailuresBefore = countLinkFailures();
@@ -335,6 +406,7 @@
 TEST_CASE_FIXTURE(FleetRelayFixture,
                   "fleet relay, failed reader recovers, no other VM calls the store")
 {
+    CAPTURE(seed);
     run(5s);
     auto &failedReader = reader();
     failedReader.store.setUnreachable(true);
@@ -350,6 +422,7 @@
 // when the reader loses it.
 TEST_CASE_FIXTURE(FleetRelayFixture, "fleet relay, reader loses the store, another one takes over")
 {
+    CAPTURE(seed);
     run(5s);
     reader().store.setUnreachable(true);
     run(2500ms);
@@ -366,6 +439,7 @@
 // Guards against VMs that each call the store every second during an outage of it.
 TEST_CASE_FIXTURE(FleetRelayFixture, "fleet relay, store is down, VMs back off and recover")
 {
+    CAPTURE(seed);
     run(5s);
     const auto callsBefore = content.calls;
     for (const auto &it : vms)
@@ -386,6 +460,7 @@
 // kanchferat-gw, mix --seed 714682531197).
 TEST_CASE_FIXTURE(FleetRelayFixture, "fleet relay, store fails briefly, next call does not wait")
 {
+    CAPTURE(seed);
     run(5s);
     auto &store = reader().store;
     store.setUnreachable(true);
@@ -401,6 +476,7 @@
 TEST_CASE_FIXTURE(FleetRelayFixture,
                   "fleet relay, reader's responses are lost, it has the new routes in time")
 {
+    CAPTURE(seed);
     run(5s);
     auto &vm = reader();
     vm.store.setLosingResponses(true);
@@ -418,6 +494,7 @@
 TEST_CASE_FIXTURE(FleetRelayFixture,
                   "fleet relay, all responses are lost, every VM has the new routes in time")
 {
+    CAPTURE(seed);
     run(5s);
     for (const auto &it : vms)
         it->store.setLosingResponses(true);
@@ -439,6 +516,7 @@
 TEST_CASE_FIXTURE(FleetRelayFixture,
                   "fleet relay, all relays lose the store, other VMs have the new routes in time")
 {
+    CAPTURE(seed);
     run(5s);
     std::vector<RelayVm *> others;
     for (const auto &it : vms) {
@@ -465,6 +543,7 @@
         FleetRelayFixture,
         "fleet relay, reader loses the store, has the new routes of other readers in time")
 {
+    CAPTURE(seed);
     run(5s);
     auto &vm = reader();
     vm.store.setLosingResponses(true);
@@ -479,6 +558,7 @@
 // Guards against a restarted VM that reads rows from the store which other VMs can relay.
 TEST_CASE_FIXTURE(FleetRelayFixture, "fleet relay, VM restarts, gets all rows from other VMs")
 {
+    CAPTURE(seed);
     run(5s);
     content.put("target");
     run(1s);
@@ -500,6 +580,7 @@
 // knows all others.
 TEST_CASE_FIXTURE(FleetRelayFixture, "fleet relay, all VMs start, every VM learns the fleet size")
 {
+    CAPTURE(seed);
     run(7s);
     CHECK(content.members.size() < vmCount / 2);
     for (const auto &it : vms) {
@@ -508,4 +589,80 @@
     }
 }
 
+/** A store that returns from a copy which is older than some of its rows and fleet entries. */
+struct ReturnedStoreFleetFixture : FleetRelayFixture
+{
+    ReturnedStoreFleetFixture()
+    {
+        run(5s);
+        content.put("old");
+        content.put("config", RowTable::Routes, "1");
+        content.put("evacuate/zone-1", RowTable::Routes);
+        run(1500ms);
+        copy = content.copy();
+        copy.tables[static_cast<std::size_t>(RowTable::Routes)].erase("evacuate/zone-1");
+        lostMember = copy.members.back().vm;
+        copy.members.pop_back();
+        // Versions that are given out again after the return.
+        for (int i = 0; i < 20; ++i)
+            content.put("lost");
+        content.put("kept");
+        content.put("config", RowTable::Routes, "2");
+        run(1500ms);
+        REQUIRE(countWith(RowTable::Routes, "config", "2") == vmCount);
+        content.returnFrom(copy);
+    }
+
+    /** @return the number of VMs at which the row is in force with the value. */
+    std::size_t countWith(RowTable table, const std::string &key, const std::string &value) const
+    {
+        return static_cast<std::size_t>(std::count_if(vms.begin(), vms.end(), [&](const auto &it) {
+            const auto &rows = it->translator.tables[static_cast<std::size_t>(table)];
+            const auto row = rows.find(key);
+            return row != rows.end() && row->second == value;
+        }));
+    }
+
+    FakeStoreContent::Copy copy;
+    VmId lostMember;
+};
+
+// Guards against VMs, readers and others, that ignore rows for good because the store gives out
+// lower versions again, or that drop in between what is written again shortly.
+TEST_CASE_FIXTURE(ReturnedStoreFleetFixture,
+                  "fleet relay, store returns from an older copy, every VM has its rows")
+{
+    CAPTURE(seed);
+    run(1500ms);
+    CHECK(countWith(RowTable::Targets, "kept", "value") == vmCount);
+    CHECK(countWith(RowTable::Routes, "evacuate/zone-1", "value") == vmCount);
+    content.put("config", RowTable::Routes, "2");
+    content.put("kept", RowTable::Targets, "again");
+    content.put("evacuate/zone-1", RowTable::Routes);
+    content.put("new");
+    run(1500ms);
+    CHECK(countWith(RowTable::Routes, "config", "2") == vmCount);
+    CHECK(countWith(RowTable::Targets, "kept", "again") == vmCount);
+    CHECK(countWith(RowTable::Targets, "new", "value") == vmCount);
+    CHECK(countWith(RowTable::Targets, "lost", "value") == vmCount);
+    // Beyond the retention: what was not written again is gone, the rest stays.
+    run(duration_cast<Duration>(RowMirror::retentionTime + 2s));
+    CHECK(countWith(RowTable::Targets, "lost", "value") == 0);
+    CHECK(countWith(RowTable::Targets, "old", "value") == vmCount);
+    CHECK(countWith(RowTable::Routes, "evacuate/zone-1", "value") == vmCount);
+    const bool isListed = std::any_of(content.members.begin(), content.members.end(),
+                                      [this](const auto &it) { return it.vm == lostMember; });
+    CHECK(isListed);
+}
+
+// Guards against a return that all VMs answer with reads of the whole tables.
+TEST_CASE_FIXTURE(ReturnedStoreFleetFixture,
+                  "fleet relay, store returns from an older copy, only the readers read it")
+{
+    CAPTURE(seed);
+    const auto callsBefore = content.calls;
+    run(3s);
+    CHECK(content.calls - callsBefore <= (readerCount + 2) * maxCallsPerReader);
+}
+
 TEST_SUITE_END();
--- a/Tests/Process/RelayTest.cpp
+++ b/Tests/Process/RelayTest.cpp
@@ -183,7 +183,7 @@
     };
 
     /** Applies changes. @return what the mirror passed to the translator. */
-    std::string apply(std::initializer_list<SourceRow> rows, std::uint64_t position)
+    std::string apply(std::initializer_list<SourceRow> rows, const StorePosition &position)
     {
         translator.translated.clear();
         mirror.apply(RowTable::Targets, std::vector(rows), position, {});
@@ -248,6 +248,82 @@
     CHECK(changes->front().isDeleted);
 }
 
+/** A mirror whose store has returned from an older copy: row a went back, row b is missing. */
+struct ReturnedStoreFixture : RowMirrorFixture
+{
+    ReturnedStoreFixture()
+    {
+        apply({{"a", "2", 12, false}, {"c", {}, 13, true}}, 13);
+        translator.translated.clear();
+        mirror.replaceAll(RowTable::Targets, returnedRows, {8, 1}, {});
+    }
+
+    const std::vector<SourceRow> returnedRows = {{"a", "1", 5, false}, {"c", "1", 4, false}};
+};
+
+// Guards against rows of lower versions that are ignored for good after the store's return.
+TEST_CASE_FIXTURE(ReturnedStoreFixture, "row mirror, complete read of a later era, replaces newer")
+{
+    CHECK(translator.translated == "all:a1 c1 b1 ");
+    CHECK(mirror.position(RowTable::Targets) == StorePosition(8, 1));
+    CHECK(mirror.hasChangedEra());
+    CHECK(apply({{"a", "3", 9, false}}, {9, 1}) == "a3 ");
+}
+
+// Guards against an answer from before the return, from the store or a relay, that restores rows.
+TEST_CASE_FIXTURE(ReturnedStoreFixture, "row mirror, rows of an earlier era, are ignored")
+{
+    CHECK(apply({{"a", "2", 12, false}}, 13).empty());
+    const SourceRow rows[] = {{"a", "2", 12, false}};
+    mirror.replaceAll(RowTable::Targets, rows, 50, {});
+    CHECK(translator.translated.empty());
+    CHECK(mirror.allRows(RowTable::Targets) == returnedRows);
+    // Changes of a later era do not lead from the known rows to that era.
+    CHECK(apply({{"a", "4", 20, false}}, {20, 2}).empty());
+}
+
+// Guards against an evacuation, or targets, that are dropped until they are written again, and
+// against rows that stay for good although nobody writes them again.
+TEST_CASE_FIXTURE(ReturnedStoreFixture, "row mirror, row lacks in a later era, stays for a while")
+{
+    translator.translated.clear();
+    CHECK(mirror.expireRetained(clock.now()));
+    clock.advance(RowMirror::retentionTime - 1ms);
+    CHECK(mirror.expireRetained(clock.now()));
+    mirror.replaceAll(RowTable::Targets, returnedRows, {9, 1}, {});
+    CHECK(translator.translated == "all:a1 c1 b1 ");
+    translator.translated.clear();
+    clock.advance(1ms);
+    CHECK_FALSE(mirror.expireRetained(clock.now()));
+    CHECK(translator.translated == "b- ");
+}
+
+TEST_CASE_FIXTURE(ReturnedStoreFixture, "row mirror, retained row is written again, stays")
+{
+    CHECK(apply({{"b", "2", 9, false}}, {9, 1}) == "b2 ");
+    CHECK_FALSE(mirror.expireRetained(clock.now()));
+    CHECK(mirror.allRows(RowTable::Targets).size() == 3);
+}
+
+// Guards against a VM of the earlier era that gets changes only, and so keeps its rows.
+TEST_CASE_FIXTURE(ReturnedStoreFixture, "row mirror, position of another era, has no history")
+{
+    CHECK_FALSE(mirror.changesSince(RowTable::Targets, 12));
+    CHECK_FALSE(mirror.changesSince(RowTable::Targets, {8, 2}));
+    CHECK(mirror.changesSince(RowTable::Targets, {8, 1}));
+}
+
+// Guards against a store clock that was set back or ahead with the return.
+TEST_CASE("store clock, later era, does not use the earlier clock")
+{
+    StoreClock storeClock;
+    const TimePoint now(100s);
+    CHECK(storeClock.responseMadeAfter(now, now, 50s) <= now);
+    storeClock.eraSeen(1);
+    // A second ahead of before: by the earlier clock this response would be made 3 s later.
+    CHECK(storeClock.responseMadeAfter(now + 5s, now + 10s, 58s) <= now + 5s);
+}
+
 struct RelayCodecFixture
 {
     RelayChanges changes;
@@ -294,6 +370,36 @@
         CHECK_FALSE(decodeRelayTarget(it));
 }
 
+// Guards against relays that lose the eras, and against other program versions that know none.
+TEST_CASE_FIXTURE(RelayCodecFixture, "relay codec, eras, are decoded as encoded or not stated")
+{
+    changes.tables[1].position = {9, 3};
+    changes.fleet = FleetList{{}, {12, 2}};
+    const auto text = encodeRelayChanges(changes);
+    const auto decoded = decodeRelayChanges(text);
+    REQUIRE(decoded);
+    CHECK(decoded.value().hasEras);
+    CHECK(decoded.value().tables[1].position == StorePosition(9, 3));
+    CHECK(decoded.value().fleet->position == StorePosition(12, 2));
+    const auto older = decodeRelayChanges(
+            R"({"routes":{"position":1,"rows":[]},"targets":{"position":2,"rows":[]}})");
+    REQUIRE(older);
+    CHECK_FALSE(older.value().hasEras);
+
+    RelayQuery query{VmId("a"), {StorePosition(3, 1), StorePosition(4, 2)}, {5, 3}, false};
+    auto received = decodeRelayTarget(encodeRelayTarget(query)).value();
+    decodeRelayEras(encodeRelayEras(query), received);
+    CHECK(received.hasEras);
+    CHECK(received.positions == query.positions);
+    CHECK(received.fleetPosition == query.fleetPosition);
+    for (const auto *it : {"", "1", "1,2", "1,x,3", "-1,2,3"}) {
+        CAPTURE(it);
+        RelayQuery unchanged;
+        decodeRelayEras(it, unchanged);
+        CHECK(unchanged == RelayQuery());
+    }
+}
+
 TEST_CASE("relay times, any value, are decoded as encoded or rejected")
 {
     const RelayTimes times = {-1500us, 7ms};
--- a/Tests/Process/TableFollowerTest.cpp
+++ b/Tests/Process/TableFollowerTest.cpp
@@ -18,15 +18,18 @@
         RowTable table;
         Duration wait;
         RowsHandler handler;
+        /** Position of a long poll; nothing for a read of the whole table. */
+        std::optional<std::uint64_t> position;
     };
 
     void readRows(RowTable table, std::string_view, RowsHandler handler) override
     {
-        calls.push_back({table, {}, std::move(handler)});
+        calls.push_back({table, {}, std::move(handler), std::nullopt});
     }
-    void awaitChanges(RowTable table, std::uint64_t, Duration wait, RowsHandler handler) override
+    void awaitChanges(RowTable table, std::uint64_t position, Duration wait,
+                      RowsHandler handler) override
     {
-        calls.push_back({table, wait, std::move(handler)});
+        calls.push_back({table, wait, std::move(handler), position});
     }
     bool isHistoryGone(const Error &) const override { return false; }
     void writeMember(const FleetMember &, WriteHandler) override {}
@@ -193,4 +196,44 @@
     CHECK(store.countPending(RowTable::Targets) == 1);
 }
 
+// Guards against rows that are ignored for good because the store has returned from an older copy
+// and gives out lower versions again.
+TEST_CASE_FIXTURE(TableFollowerFixture, "table follower, response of a later era, reads all rows")
+{
+    const SourceRow before[] = {{"a", "new", 7, false}};
+    store.take(RowTable::Targets).handler(SourceRows{{before[0]}, 7, false});
+    run(600ms);
+    store.take(RowTable::Targets).handler(SourceRows{{}, {3, 1}, false});
+    const auto read = store.take(RowTable::Targets);
+    CHECK_FALSE(read.position);
+    read.handler(SourceRows{{{"a", "old", 2, false}}, {3, 1}, false});
+    CHECK(mirror.position(RowTable::Targets) == StorePosition(3, 1));
+    CHECK(mirror.allRows(RowTable::Targets).front().value == "old");
+    CHECK(store.take(RowTable::Targets).position == std::uint64_t{3});
+}
+
+// Guards against a delayed answer from before the return, which would bring back what is gone.
+TEST_CASE_FIXTURE(TableFollowerFixture, "table follower, response of an earlier era, is ignored")
+{
+    store.take(RowTable::Targets).handler(SourceRows{{}, {3, 2}, false});
+    store.take(RowTable::Targets).handler(SourceRows{{}, {3, 2}, false});
+    store.take(RowTable::Targets).handler(SourceRows{{{"a", "1", 9, false}}, {9, 1}, false});
+    CHECK(mirror.position(RowTable::Targets) == StorePosition(3, 2));
+    CHECK(mirror.allRows(RowTable::Targets).empty());
+    CHECK(targets.isFailing());
+    run(200ms);
+    CHECK(store.take(RowTable::Targets).position == std::uint64_t{3});
+}
+
+// Guards against a table put together from rows of two eras.
+TEST_CASE_FIXTURE(TableFollowerFixture, "table follower, era changes between pages, reads again")
+{
+    store.take(RowTable::Targets).handler(SourceRows{{}, {3, 1}, false});
+    store.take(RowTable::Targets).handler(SourceRows{{{"a", "1", 2, false}}, {3, 1}, true});
+    store.take(RowTable::Targets).handler(SourceRows{{{"b", "1", 2, false}}, {2, 2}, false});
+    CHECK(mirror.allRows(RowTable::Targets).empty());
+    run(200ms);
+    CHECK_FALSE(store.take(RowTable::Targets).position);
+}
+
 TEST_SUITE_END();
--- a/Tests/Soak/ConfigFleet.cpp
+++ b/Tests/Soak/ConfigFleet.cpp
@@ -80,6 +80,11 @@
     m_versions.push_back({version, SteadyClock().now()});
 }
 
+void ConfigFleet::repeatRoutes()
+{
+    m_store.put("op", "config", makeRoutes(m_versions.back().version));
+}
+
 std::optional<RouteVersion> ConfigFleet::versionConfirmedBefore(TimePoint time)
 {
     const std::lock_guard lock(m_mutex);
--- a/Tests/Soak/ConfigFleet.h
+++ b/Tests/Soak/ConfigFleet.h
@@ -59,6 +59,8 @@
 
     /** Puts the next version in force, which adds a route. */
     void changeRoutes();
+    /** Puts the present version in force again, after the store has lost it. */
+    void repeatRoutes();
     /** @return the newest version confirmed before the time. */
     std::optional<RouteVersion> versionConfirmedBefore(TimePoint time);
     /** Sends a request on the route that the version has added, and records the response. */
--- a/Tests/Soak/ConfigSoakTest.cpp
+++ b/Tests/Soak/ConfigSoakTest.cpp
@@ -247,4 +247,42 @@
     }
 }
 
+// Guards against VMs that go back to older routes, or ignore new ones for good, because the store
+// has returned from an older copy and gives out lower versions again.
+TEST_CASE_FIXTURE(ConfigSoakFixture,
+                  "fleet, store returns from an older copy, applies new routes in time")
+{
+    constexpr std::size_t vmCount = 8;
+    ConfigFleet fleet(vmCount);
+    const auto probeAll = [&fleet](const RouteVersion &route) {
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            fleet.probe(i, route);
+    };
+    const auto presentRoute = [&fleet] {
+        return fleet.versionConfirmedBefore(SteadyClock().now()).value();
+    };
+    fleet.store().takeCopy();
+    // So many that the versions of the next changes are lower than those that VMs already know.
+    for (int i = 0; i < 6; ++i)
+        fleet.changeRoutes();
+    std::this_thread::sleep_for(ConfigFleet::changeBound + 500ms);
+    probeAll(presentRoute());
+    fleet.store().setMode(StoreMode::Unavailable);
+    std::this_thread::sleep_for(300ms);
+    fleet.store().returnFromCopy();
+    fleet.store().setMode(StoreMode::Healthy);
+    // Acts by what it has applied until the operator writes it again, and then by what is new.
+    for (int i = 0; i < 5; ++i) {
+        probeAll(presentRoute());
+        std::this_thread::sleep_for(200ms);
+    }
+    fleet.repeatRoutes();
+    std::this_thread::sleep_for(ConfigFleet::contactTime);
+    fleet.changeRoutes();
+    std::this_thread::sleep_for(ConfigFleet::changeBound + 500ms);
+    probeAll(presentRoute());
+    for (const auto &it : fleet.violations())
+        FAIL_CHECK(it);
+}
+
 TEST_SUITE_END();
--- a/Tests/Soak/FakeStore.cpp
+++ b/Tests/Soak/FakeStore.cpp
@@ -37,9 +37,28 @@
     m_changed.notify_all();
 }
 
+void FakeStore::takeCopy()
+{
+    const std::lock_guard lock(m_mutex);
+    m_copiedTables = m_tables;
+    m_copiedVersion = m_version;
+}
+
+void FakeStore::returnFromCopy()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_tables = m_copiedTables;
+        m_version = m_copiedVersion;
+        ++m_era;
+    }
+    m_changed.notify_all();
+}
+
 void FakeStore::handle(Testbed::HttpExchangeContext &context)
 {
     constexpr unsigned ok = 200;
+    constexpr unsigned gone = 410;
     constexpr unsigned unavailable = 503;
     if (m_mode == StoreMode::Unavailable) {
         Testbed::sendResponse(context.response, unavailable, "{}");
@@ -47,7 +66,7 @@
     }
     const Poco::Net::HTMLForm query(context.request);
     const auto path = context.request.getURI();
-    nlohmann::json response = {{"ver", m_version}};
+    nlohmann::json response = {{"ver", 0}};
     if (path.starts_with("/rows-tx")) {
         transact(Testbed::readBody(context.request));
     } else if (path.starts_with("/rows-get")) {
@@ -56,10 +75,14 @@
         const std::chrono::milliseconds wait(std::stoul(query.get("wait_ms")));
         response = feed(query.get("table"), std::stoull(query.get("after")), wait);
     }
+    {
+        const std::lock_guard lock(m_mutex);
+        context.response.set("Store-Era", std::to_string(m_era));
+    }
     if (m_mode == StoreMode::LoseResponses)
         Testbed::resetConnection(context);
     else
-        Testbed::sendResponse(context.response, ok, response.dump());
+        Testbed::sendResponse(context.response, response.is_null() ? gone : ok, response.dump());
 }
 
 nlohmann::json FakeStore::read(const std::string &table)
@@ -77,8 +100,12 @@
 nlohmann::json FakeStore::feed(const std::string &table, std::uint64_t after, Duration wait)
 {
     std::unique_lock lock(m_mutex);
+    const auto era = m_era;
     auto rows = nlohmann::json::array();
     const auto collect = [&] {
+        // The long poll ends with the store's return, as its connection would.
+        if (m_era != era)
+            return true;
         for (const auto &[key, row] : m_tables[table]) {
             if (row.version > after)
                 rows.push_back({{"key", key},
@@ -88,6 +115,8 @@
         }
         return !rows.empty();
     };
+    if (after > m_version)
+        return nullptr;
     m_changed.wait_for(lock, wait, collect);
     return {{"rows", rows}, {"ver", m_version}, {"now_ms", clockMs()}};
 }
--- a/Tests/Soak/FakeStore.h
+++ b/Tests/Soak/FakeStore.h
@@ -32,6 +32,10 @@
     /** Writes a row, as the operator or a target would. */
     void put(const std::string &table, const std::string &key, const std::string &value);
     void remove(const std::string &table, const std::string &key);
+    /** Keeps a copy of all rows for returnFromCopy(). */
+    void takeCopy();
+    /** The store comes back from its copy, in a new era. Versions are given out again. */
+    void returnFromCopy();
 
 private:
     struct Row
@@ -41,9 +45,14 @@
         bool isDeleted = false;
     };
 
+    using Tables = std::map<std::string, std::map<std::string, Row>>;
+
     void handle(Testbed::HttpExchangeContext &context);
     nlohmann::json read(const std::string &table);
-    /** Waits for changes. @return the rows that changed after the version. */
+    /**
+     * Waits for changes.
+     * @return the rows that changed after the version, or null if the store does not have it
+     */
     nlohmann::json feed(const std::string &table, std::uint64_t after, Duration wait);
     /** Executes the writes of a transaction. @param body JSON text */
     void transact(const std::string &body);
@@ -52,7 +61,10 @@
     std::mutex m_mutex;
     std::condition_variable m_changed;
     std::uint64_t m_version = 1;
-    std::map<std::string, std::map<std::string, Row>> m_tables;
+    std::uint64_t m_era = 0;
+    Tables m_tables;
+    Tables m_copiedTables;
+    std::uint64_t m_copiedVersion = 1;
     Testbed::TestHttpServer m_server;
 };
 
