Tests: Tell the slowed request of the hedge tests by its id

An attempt of an earlier request that arrived late could take the slow answer of the test, and a slow answer could outlive the test that it belonged to: one run in three waited 20 s for a variable that was gone. The slow answer now goes to the first attempt of one request id, and the test waits for its end. The checks are the same.

--- a/Tests/Process/GatewayTest.cpp
+++ b/Tests/Process/GatewayTest.cpp
@@ -228,6 +228,17 @@
         });
     }
 
+    /** @return value of a counter of the gateway. */
+    unsigned long counter(const std::string &name)
+    {
+        RawSocket socket(settings.metricsEndpoint);
+        socket.send("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
+        const auto text = socket.readResponse();
+        const auto position = text.find('\n' + name + ' ');
+        REQUIRE(position != std::string::npos);
+        return std::stoul(text.substr(position + name.size() + 2));
+    }
+
     unsigned succeeded(unsigned n)
     {
         unsigned count = 0;
@@ -291,8 +302,7 @@
     }
 };
 
-/** A service whose targets respond at once, except for the next attempt that the test makes slow.
- */
+/** A service whose targets respond at once, except to the first attempt of a slowed request. */
 struct HedgeFixture : GatewayFixture
 {
     HedgeFixture()
@@ -301,7 +311,8 @@
         latencyObjective = 2500ms;
         for (const auto *id : {"one", "two", "three"}) {
             addTarget(id, [this](const std::string &request) -> std::optional<std::string> {
-                if (m_slowAttempts > 0 && m_slowAttempts-- > 0)
+                // Attempts of earlier requests may arrive late.
+                if (request == "r" + std::to_string(m_slowedRequest) && m_attemptCount++ == 0)
                     return slowResponder(request);
                 return ScriptedTarget::response("200 OK", request, {}, "fast");
             });
@@ -318,20 +329,15 @@
         publish();
         REQUIRE(succeeded(warmupCount) == warmupCount);
         hedgesBefore = hedges();
-        requestsBefore = requests();
     }
     std::string callSlowed(const std::string &path = "/read/x")
     {
-        m_slowAttempts = 1;
+        m_attemptCount = 0;
+        m_slowedRequest = requestCount + 1;
         return call(path);
     }
-    unsigned requests() const
-    {
-        unsigned n = 0;
-        for (const auto &it : targets)
-            n += it->requestCount();
-        return n;
-    }
+    /** @return attempts of the slowed request. */
+    unsigned attemptCount() const { return m_attemptCount; }
     unsigned closedSilentConnections() const
     {
         unsigned n = 0;
@@ -339,25 +345,15 @@
             n += it->closedSilentConnections();
         return n;
     }
-    /** @return value of a counter of the gateway. */
-    unsigned long counter(const std::string &name)
-    {
-        RawSocket socket(settings.metricsEndpoint);
-        socket.send("GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n");
-        const auto text = socket.readResponse();
-        const auto position = text.find('\n' + name + ' ');
-        REQUIRE(position != std::string::npos);
-        return std::stoul(text.substr(position + name.size() + 2));
-    }
     unsigned long hedges() { return counter("sapphireladder_hedges_total"); }
 
     static constexpr unsigned warmupCount = 60;
     ScriptedTarget::Responder slowResponder = [](const std::string &) { return std::nullopt; };
     unsigned long hedgesBefore = 0;
-    unsigned requestsBefore = 0;
 
 private:
-    std::atomic<int> m_slowAttempts{0};
+    std::atomic<unsigned> m_slowedRequest{0};
+    std::atomic<unsigned> m_attemptCount{0};
 };
 
 // Guards against requests to a target that announced its stop, in the registry's words still ready.
@@ -505,20 +501,14 @@
 TEST_CASE_FIXTURE(HedgeFixture, "gateway, attempt is slow, another target answers and it is closed")
 {
     begin(1.0);
-    // On a busy machine a load probe may not be answered in time, so that no hedge is sent.
-    REQUIRE(eventually([&] {
-        callSlowed();
-        return hedges() > hedgesBefore;
-    }));
     const auto wonBefore = counter("sapphireladder_hedges_won_total");
     const auto closedBefore = closedSilentConnections();
+    // On a busy machine a load probe may not be answered in time, so that no hedge is sent.
     REQUIRE(eventually([&] {
         hedgesBefore = hedges();
-        requestsBefore = requests();
-        const auto response = callSlowed();
-        return hedges() > hedgesBefore && response.ends_with("fast");
+        return callSlowed().ends_with("fast") && hedges() > hedgesBefore;
     }));
-    CHECK(requests() - requestsBefore == 2);
+    CHECK(attemptCount() == 2);
     CHECK(counter("sapphireladder_hedges_won_total") > wonBefore);
     CHECK(eventually([&] { return closedSilentConnections() > closedBefore; }));
     CHECK(events.count(EventId::RequestHedged) > 0);
@@ -541,7 +531,7 @@
     begin(1.0);
     CHECK_FALSE(callSlowed("/write/x").starts_with("HTTP/1.1 200"));
     CHECK(hedges() == hedgesBefore);
-    CHECK(requests() - requestsBefore == 1);
+    CHECK(attemptCount() == 1);
 }
 
 // Guards against a third attempt, and against a failure, while a hedge is about to respond.
@@ -549,13 +539,16 @@
 {
     begin(1.0);
     const auto eventsBefore = events.count(EventId::RequestHedged);
+    std::atomic<bool> hasFailed{false};
     slowResponder = [&](const std::string &id) {
         eventually([&] { return events.count(EventId::RequestHedged) > eventsBefore; });
+        hasFailed = true;
         return ScriptedTarget::response("500 Internal Server Error", id, {}, "failed");
     };
     const auto response = callSlowed();
+    REQUIRE(eventually([&] { return hasFailed.load(); }));
     CHECK(response.starts_with("HTTP/1.1 200"));
-    CHECK(requests() - requestsBefore == 2);
+    CHECK(attemptCount() == 2);
 }
 
 // Guards against a hedge that is sent to a busy target, where it takes the slot of another request.
