Gateway: Admit requests by priority while targets are full

In a burst each request probed targets and waited for itself, so that urgent requests were refused like others, and late. OverloadRule now decides on arrival, before the allowance and any probe: the admitted share of the demand follows the occupancy that the targets report and goes to the most urgent requests first, with a minimum share for each priority. The rest is refused with a Retry-After at which there is room. The setting admission_min_share, 0 by default, switches it on.

--- a/Source/Process/GatewaySettings.h
+++ b/Source/Process/GatewaySettings.h
@@ -47,6 +47,9 @@
     /** Largest share of requests that may be sent to a second target to cut their latency. Zero
      * turns hedging off. */
     double hedgeRatio = 0;
+    /** Share of the requests of each priority that is admitted in any overload. Zero admits all
+     * requests, and leaves it to the search for a target which of them are refused. */
+    double admissionMinShare = 0;
     /** Memory of this VM in bytes; 0 if unknown. */
     std::size_t memoryBytes = 0;
     /** Maximum number of open descriptors of this process; 0 if unknown. */
--- a/Source/Process/Loop/Gateway.cpp
+++ b/Source/Process/Loop/Gateway.cpp
@@ -83,6 +83,7 @@
         m_settings.retryWindow = settings.retryWindow;
         m_settings.loadProbesPerTargetPerSecond = settings.loadProbesPerTargetPerSecond;
         m_settings.hedgeRatio = settings.hedgeRatio;
+        m_settings.admissionMinShare = settings.admissionMinShare;
         m_hedges.setPolicy(hedgeBudgetPolicy());
         applySnapshot(m_snapshot);
     });
@@ -229,6 +230,21 @@
     return {.ratio = m_settings.hedgeRatio, .window = m_settings.retryWindow};
 }
 
+std::optional<OverloadRefusal> Gateway::checkOverload(const ServiceName &service,
+                                                      const RequestPriority &priority)
+{
+    if (!isAdmissionEnabled())
+        return std::nullopt;
+    std::vector<const TargetStats *> targets;
+    for (const auto &it : preferredUpstreams(service))
+        targets.push_back(&it->stats());
+    const auto now = m_context.clock.now();
+    const OverloadPolicy policy{.minShare = m_settings.admissionMinShare};
+    auto &rule = m_overloadRules.try_emplace(service, policy).first->second;
+    rule.setPolicy(policy);
+    return rule.decide(priority, meanOccupancy(targets, now), m_random.unit(), now);
+}
+
 HedgeBudget &Gateway::hedgeBudget(const ServiceName &service)
 {
     return m_hedges.budget(service, retryBudget(service));
@@ -370,6 +386,10 @@
     std::ostringstream out;
     for (const auto &it : rows)
         out << "# TYPE " << it.name << ' ' << it.kind << '\n' << it.name << ' ' << it.value << '\n';
+    out << "# TYPE sapphireladder_admitted_share gauge\n";
+    for (const auto &[service, rule] : m_overloadRules)
+        out << "sapphireladder_admitted_share{service=\"" << service.view() << "\"} "
+            << rule.admittedShare() << '\n';
     if (m_snapshot->routes)
         out << "# TYPE sapphireladder_route_source gauge\nsapphireladder_route_source{vm=\""
             << m_snapshot->routesSource << "\"} 1\n";
--- a/Source/Process/Loop/Gateway.h
+++ b/Source/Process/Loop/Gateway.h
@@ -71,6 +71,9 @@
     const SearchPolicy &hedgeSearchPolicy() const override { return m_hedgeSearchPolicy; }
     LatencyWindow &latencies(const Route &route) override { return m_hedges.latencies(route); }
     HedgeBudget &hedgeBudget(const ServiceName &service) override;
+    bool isAdmissionEnabled() const override { return m_settings.admissionMinShare > 0; }
+    std::optional<OverloadRefusal> checkOverload(const ServiceName &service,
+                                                 const RequestPriority &priority) override;
     RequestObserver &observer() override { return m_metrics; }
     void recordOutcome(const RequestOutcome &outcome, Duration latency) override;
     void recordAbandoned() override { ++m_abandonedCount; }
@@ -132,6 +135,7 @@
     /** Moving average of the service time, by route name. */
     std::unordered_map<std::string, Duration> m_serviceTimes;
     HedgeTable m_hedges;
+    std::unordered_map<ServiceName, OverloadRule> m_overloadRules;
     UnlimitedAllowanceGate m_allowances;
     UpstreamCounters m_upstreamCounters;
     Metrics m_metrics;
--- a/Source/Process/Yaml/GatewaySettingsReader.cpp
+++ b/Source/Process/Yaml/GatewaySettingsReader.cpp
@@ -32,6 +32,7 @@
     root.number("warmup_factor", settings.warmupFactor, {0.0, 100.0});
     root.number("warmup_slack", settings.warmupSlack, {0.0, 1e6});
     root.number("hedge_ratio", settings.hedgeRatio, {0.0, 1.0});
+    root.number("admission_min_share", settings.admissionMinShare, {0.0, 0.5});
     std::size_t memoryMebibytes = settings.memoryBytes / mebibyte;
     root.unsignedInteger<std::size_t>("memory_mb", memoryMebibytes, {32, 1UL << 20U});
     settings.memoryBytes = memoryMebibytes * mebibyte;
--- a/Source/Request/Loop/ProxyExchange.cpp
+++ b/Source/Request/Loop/ProxyExchange.cpp
@@ -86,6 +86,12 @@
         m_environment.hedgeBudget(m_service).recordRequest();
     callAfter(m_deadlineTimer, weak_from_this(), m_deadline - m_environment.context().clock.now(),
               &ProxyExchange::deadlinePassed);
+    // Before the allowance is asked and a target is probed, since the request would use neither.
+    if (const auto refusal = m_environment.checkOverload(m_service, priority())) {
+        m_retryAfter = refusal->retryAfter;
+        refuse(RefusalReason::Overloaded);
+        return;
+    }
     if (!m_workspace || !m_workspace->isLimited()) {
         findTarget();
         return;
@@ -121,7 +127,7 @@
         findTarget();
         return;
     }
-    m_allowanceRetryAfter = decision.retryAfter;
+    m_retryAfter = decision.retryAfter;
     refuse(RefusalReason::AllowanceExceeded);
 }
 
@@ -193,6 +199,7 @@
     const auto deadline = attemptDeadline();
     SearchTimeLimits limits{deadline, deadline, m_environment.expectedServiceTime(*m_route),
                             m_request.arrivedAt};
+    limits.requiresRecentReport = !m_route->idempotent && m_environment.isAdmissionEnabled();
     // Retries are not held to the latency objective: a late response is better than none.
     if (m_attemptCount == 0)
         limits.objectiveAt = objectiveDeadline();
@@ -635,10 +642,9 @@
                  std::to_string(toSeconds(pause) + toSeconds(spread) * retryAfterSpread * jitter)});
         return fields;
     }
-    if (m_allowanceRetryAfter) {
-        const auto spread = toSeconds(*m_allowanceRetryAfter) * retryAfterSpread * jitter;
-        fields.push_back(
-                {"Retry-After", std::to_string(toSeconds(*m_allowanceRetryAfter) + spread)});
+    if (m_retryAfter) {
+        const auto spread = toSeconds(*m_retryAfter) * retryAfterSpread * jitter;
+        fields.push_back({"Retry-After", std::to_string(toSeconds(*m_retryAfter) + spread)});
         return fields;
     }
     const auto objective = m_route ? toSeconds(m_route->latencyObjective)
--- a/Source/Request/Loop/ProxyExchange.h
+++ b/Source/Request/Loop/ProxyExchange.h
@@ -101,8 +101,8 @@
     const Workspace *m_workspace = nullptr;
     /** A request of the workspace's allowance was granted, and not returned. */
     bool m_holdsAllowance = false;
-    /** When the allowance has room again, if it was exceeded. */
-    std::optional<Duration> m_allowanceRetryAfter;
+    /** When there is room again, if the allowance was exceeded or the service is overloaded. */
+    std::optional<Duration> m_retryAfter;
     ServiceName m_service;
     TimePoint m_deadline{};
     LoopTimer m_deadlineTimer;
--- a/Source/Request/Loop/TrafficEnvironment.h
+++ b/Source/Request/Loop/TrafficEnvironment.h
@@ -49,6 +49,11 @@
     virtual LatencyWindow &latencies(const Route &route) = 0;
     /** @return the limits on the hedges of a service. */
     virtual HedgeBudget &hedgeBudget(const ServiceName &service) = 0;
+    /** @return whether requests are admitted by priority in an overload. */
+    virtual bool isAdmissionEnabled() const = 0;
+    /** Decides whether a request that has arrived is admitted. @return nothing if it is. */
+    virtual std::optional<OverloadRefusal> checkOverload(const ServiceName &service,
+                                                         const RequestPriority &priority) = 0;
     virtual RequestObserver &observer() = 0;
     /** A request ended. @param latency time since its first byte arrived */
     virtual void recordOutcome(const RequestOutcome &outcome, Duration latency) = 0;
--- a/Source/Request/Request.h
+++ b/Source/Request/Request.h
@@ -15,6 +15,7 @@
 #include "Request/LatencyWindow.h"
 #include "Request/LeastInFlightSelector.h"
 #include "Request/LoadProbeBudget.h"
+#include "Request/OverloadRule.h"
 #include "Request/PowerOfTwoSelector.h"
 #include "Request/RampSampling.h"
 #include "Request/RandomSelector.h"
--- a/Source/Request/TargetSearch.cpp
+++ b/Source/Request/TargetSearch.cpp
@@ -86,6 +86,8 @@
 {
     if (const auto recent = findBest(now, m_policy.usableReportMaxAge))
         return recent;
+    if (m_timeLimits.requiresRecentReport && hasLoadReports())
+        return std::nullopt;
     return areFreeSlotsRare(now) ? std::nullopt : findBest(now, std::nullopt);
 }
 
@@ -166,6 +168,12 @@
     return !hasCurrentReport;
 }
 
+bool TargetSearch::hasLoadReports() const
+{
+    return std::any_of(m_candidates.begin(), m_candidates.end(),
+                       [](const auto &it) { return it.stats->report().slots > 0; });
+}
+
 bool TargetSearch::areFreeSlotsRare(TimePoint now) const
 {
     std::size_t reportCount = 0;
--- a/Source/Request/TargetSearch.h
+++ b/Source/Request/TargetSearch.h
@@ -66,6 +66,9 @@
     Duration serviceTime{};
     /** Until this time, one slot of each target is left free for more urgent requests. */
     TimePoint reservesSlotUntil{};
+    /** A target that reports its load is used only if a recent report shows a free slot. A request
+     * that must not be repeated is lost if a full target resets its connection. */
+    bool requiresRecentReport = false;
 };
 
 /** Sends load probes to these targets. */
@@ -143,6 +146,8 @@
     SearchStep waitForNextPass(TimePoint nextPassAt);
     /** @return whether any target is at least half full, or no target has a current report. */
     bool isLoadHighOrUnknown(TimePoint now) const;
+    /** @return whether any target has ever reported its load. */
+    bool hasLoadReports() const;
     /** @return whether few of the targets with a recent report had a free slot. */
     bool areFreeSlotsRare(TimePoint now) const;
     bool hasFreeSlot(const TargetStats &stats, TimePoint now) const;
--- a/Tests/Process/GatewayTest.cpp
+++ b/Tests/Process/GatewayTest.cpp
@@ -564,6 +564,26 @@
     CHECK(events.count(EventId::RequestStalled) == 1);
 }
 
+// Load: all targets are full. Guards against requests that probe and wait although they cannot be
+// served.
+TEST_CASE_FIXTURE(GatewayFixture, "gateway, targets full and admission on, refuses at once")
+{
+    for (const auto *id : {"one", "two", "three"}) {
+        addTarget(id, respond("200 OK", ""));
+        targets.back()->setReportedLoad(6);
+    }
+    settings.admissionMinShare = 0.05;
+    gateway->reconfigure(settings);
+    publish();
+    std::string response;
+    REQUIRE(eventually([&] {
+        response = call();
+        return counter("sapphireladder_refused_total{reason=\"overloaded\"}") > 0;
+    }));
+    CHECK(response.starts_with("HTTP/1.1 429"));
+    CHECK(response.find("Retry-After: ") != std::string::npos);
+}
+
 // Guards against a copy of an earlier refusal that is taken for the response to a request, which is
 // then sent to a second target, or reported as not run, although the first target runs it.
 TEST_CASE_FIXTURE(RepeatedRefusalFixture,
--- a/Tests/Request/TargetSearchTest.cpp
+++ b/Tests/Request/TargetSearchTest.cpp
@@ -359,4 +359,30 @@
     CHECK(it.probeCount() == 0);
 }
 
+// Load: targets reset connections while they are full. Guards against a request that must not be
+// repeated and is lost at a target of which nothing recent is known.
+TEST_CASE_FIXTURE(TargetSearchFixture,
+                  "target search, requires a recent report, is not sent on hope")
+{
+    reportAllAndExhaustBudget(0);
+    clock.advance(policy.usableReportMaxAge + 1ms);
+    SearchTimeLimits limits{clock.now(), clock.now() + 5s, 100ms, reservesSlotUntil, true};
+    TargetSearch cautious(policy, candidates, limits, random);
+    CHECK(std::holds_alternative<RefuseStep>(next(cautious)));
+    limits.requiresRecentReport = false;
+    limits.objectiveAt = clock.now() + 1s;
+    TargetSearch usual(policy, candidates, limits, random);
+    CHECK(std::holds_alternative<SendStep>(next(usual)));
+}
+
+// Guards against requests that are refused for good at targets that do not report their load.
+TEST_CASE_FIXTURE(TargetSearchFixture, "target search, no target reports its load, is sent")
+{
+    exhaustBudget();
+    const SearchTimeLimits limits{clock.now() + 1s, clock.now() + 5s, 100ms, reservesSlotUntil,
+                                  true};
+    TargetSearch it(policy, candidates, limits, random);
+    CHECK(std::holds_alternative<SendStep>(next(it)));
+}
+
 TEST_SUITE_END();
