Connection: Detach buffer reservations at the end of their budget; grow bodies without a late copy

An event loop destroys its pending handlers after the gateway, and the connections that they hold gave their reservations back to a budget that no longer existed: GatewayTest ended with SIGSEGV in one of four runs. The budget now detaches its reservations. A body whose buffer grew just before its end was held twice for a moment: a single body of 64 MiB led to a peak of 147,776 KiB on a VM of 160 MB. From half of its largest size a body now gets all of it.

--- a/Source/Connection/Loop/BodyDecoder.cpp
+++ b/Source/Connection/Loop/BodyDecoder.cpp
@@ -70,8 +70,9 @@
     const std::uint64_t largest = m_framing == BodyFraming::ContentLength
                                           ? m_body.size() + remaining
                                           : m_maxBytes;
-    m_body.reserve(std::max<std::uint64_t>(
-            needed, std::min<std::uint64_t>(2 * m_body.capacity(), largest)));
+    // A last step from more than half would hold almost the whole body twice while it is copied.
+    const std::uint64_t doubled = 2 * m_body.capacity();
+    m_body.reserve(std::max<std::uint64_t>(needed, doubled > largest / 2 ? largest : doubled));
 }
 
 ReadProgress BodyDecoder::feedChunked(std::string_view &input)
--- a/Source/Connection/Loop/BufferBudget.cpp
+++ b/Source/Connection/Loop/BufferBudget.cpp
@@ -6,21 +6,23 @@
 namespace Sapphireladder {
 
 BufferReservation::BufferReservation(BufferBudget &budget, EvictionHandler evictionHandler)
-    : m_budget(budget)
+    : m_budget(&budget)
     , m_evictionHandler(std::move(evictionHandler))
 {
-    m_budget.m_reservations.push_back(*this);
+    m_budget->m_reservations.push_back(*this);
 }
 
 bool BufferReservation::resize(std::size_t bytes, TimePoint now)
 {
+    if (!m_budget)
+        return false;
     m_progressAt = now;
-    m_budget.m_usedBytes += bytes;
-    m_budget.m_usedBytes -= std::exchange(m_bytes, bytes);
+    m_budget->m_usedBytes += bytes;
+    m_budget->m_usedBytes -= std::exchange(m_bytes, bytes);
     if (m_bytes == 0)
         return true;
-    while (!m_isEvicted && m_budget.m_usedBytes > m_budget.m_maxBytes) {
-        if (!m_budget.evictHeavierThan(*this, now))
+    while (!m_isEvicted && m_budget->m_usedBytes > m_budget->m_maxBytes) {
+        if (!m_budget->evictHeavierThan(*this, now))
             return false;
     }
     return !m_isEvicted;
@@ -33,6 +35,12 @@
     m_isEvictable = true;
 }
 
+BufferBudget::~BufferBudget()
+{
+    for (auto &it : m_reservations)
+        it.m_budget = nullptr;
+}
+
 std::size_t BufferBudget::maxBytesFor(std::size_t memoryBytes)
 {
     /** Memory of a process without messages, with its tables and connections. */
--- a/Source/Connection/Loop/BufferBudget.h
+++ b/Source/Connection/Loop/BufferBudget.h
@@ -26,7 +26,7 @@
     using EvictionHandler = std::function<void()>;
 
     /**
-     * @param budget must outlive the reservation
+     * @param budget denies any further growth after its end
      * @param evictionHandler called when the connection has to end in favour of another; it must
      * not change any reservation itself. If empty, the reservation is not evicted.
      */
@@ -49,7 +49,8 @@
 private:
     friend class BufferBudget;
 
-    BufferBudget &m_budget;
+    /** Null after the end of the budget. */
+    BufferBudget *m_budget;
     EvictionHandler m_evictionHandler;
     std::size_t m_bytes = 0;
     TimePoint m_progressAt{};
@@ -79,6 +80,12 @@
         : m_maxBytes(maxBytes)
     {}
 
+    BufferBudget(const BufferBudget &) = delete;
+    BufferBudget &operator=(const BufferBudget &) = delete;
+    /** Detaches the reservations: an event loop destroys its pending handlers, and with them
+     * connections, after the gateway with its budget. */
+    ~BufferBudget();
+
     std::size_t usedBytes() const { return m_usedBytes; }
     std::size_t maxBytes() const { return m_maxBytes; }
     /** @return the number of reservations that were evicted. */
--- a/Tests/Connection/BufferBudgetTest.cpp
+++ b/Tests/Connection/BufferBudgetTest.cpp
@@ -49,6 +49,17 @@
     CHECK(second.resize(200, start + 5s));
 }
 
+// Guards against a crash at the end of a process: pending handlers of its event loop hold
+// connections longer than the budget lives.
+TEST_CASE("buffer budget, ends before its reservation, detaches it")
+{
+    auto budget = std::make_unique<BufferBudget>(1000);
+    BufferReservation reservation(*budget);
+    CHECK(reservation.resize(10));
+    budget.reset();
+    CHECK_FALSE(reservation.resize(20));
+}
+
 TEST_CASE("buffer budget, memory of the VM, holds a largest legal body")
 {
     CHECK(BufferBudget::maxBytesFor(0) == BufferBudget::defaultMaxBytes);
--- a/Tests/Crowd/CrowdFixture.cpp
+++ b/Tests/Crowd/CrowdFixture.cpp
@@ -46,7 +46,7 @@
                          {"prefix", prefix},
                          {"kind", "safe"},
                          {"timeout_ms", limits.timeoutMs},
-                         {"target_latency_ms", 200},
+                         {"target_latency_ms", limits.timeoutMs / 20},
                          {"priority", 1},
                          {"max_attempts", 2},
                          {"service", "desk"}});
--- a/Tests/Platform/PlatformDecoderTest.cpp
+++ b/Tests/Platform/PlatformDecoderTest.cpp
@@ -211,7 +211,7 @@
 {
     std::vector<HeaderField> fields{
             {"deadline-ms", "5000"}, {"Expect-Instance", "x"}, {"Attempt-Id", "1"}};
-    codec.setAttemptHeaders(fields, {800ms, "i-1"});
+    codec.setAttemptHeaders(fields, {800ms, "i-1", {}});
     REQUIRE(fields.size() == 3);
     CHECK(fields[0].name == "Attempt-Id");
     CHECK(fields[1].value == "800");
