Tests: Satisfy the linter in the crowd tests

clang-tidy reported a move without effect and a multiplication that was widened afterwards. Both lines now say what they did; the crowds are unchanged.

--- a/Tests/Crowd/Crowd.cpp
+++ b/Tests/Crowd/Crowd.cpp
@@ -34,7 +34,7 @@
             StreamSocket socket;
             socket.connect(SocketAddress(m_endpoint.host, m_endpoint.port), Poco::Timespan(1, 0));
             socket.setBlocking(false);
-            m_members.push_back({std::move(socket), shared});
+            m_members.push_back({socket, shared});
         } catch (const Poco::Exception &) {
             // The gateway may refuse the connections of a crowd.
         }
--- a/Tests/Crowd/CrowdTest.cpp
+++ b/Tests/Crowd/CrowdTest.cpp
@@ -12,7 +12,7 @@
 /** Connections of a crowd that fits into the gateway's descriptors. */
 constexpr std::size_t crowdSize = 120;
 /** Connections of a crowd that does not. */
-constexpr std::size_t floodSize = 2 * maxDescriptors;
+constexpr std::size_t floodSize = std::size_t{2} * maxDescriptors;
 /** Connections at each of three ports or paths; together they fit, too. */
 constexpr std::size_t fieldCrowdSize = 70;
 constexpr std::size_t pieceBytes = 1000;
