--- a/Source/Process/AllowanceClient.cpp
+++ b/Source/Process/AllowanceClient.cpp
@@ -142,8 +142,8 @@
     }
     if (answer.count < wanted) {
         slot.emptyUntil = now + std::clamp(answer.emptyFor, Duration::zero(), maxEmptyTime);
-        slot.retryAt = now + std::clamp(answer.retryAfter, Duration::zero(),
-                                        AllowancePool::maxWait);
+        slot.retryAt = now
+                       + std::clamp(answer.retryAfter, Duration::zero(), AllowancePool::maxWait);
     }
     process(ask.workspace, state, now);
 }
@@ -226,14 +226,13 @@
     const bool isAnswerDue = askCollectors(name, state, now);
     std::size_t keep = 0;
     if (isAnswerDue) {
-        const auto first = std::find_if(state.waiters.begin(), state.waiters.end(), [&](auto &it) {
-            return now - it.since < maxWait;
-        });
+        const auto first = std::find_if(state.waiters.begin(), state.waiters.end(),
+                                        [&](auto &it) { return now - it.since < maxWait; });
         keep = static_cast<std::size_t>(state.waiters.end() - first);
     }
     refuseWaiters(name, state, keep, now);
-    if (!state.waiters.empty() && std::find(m_waiting.begin(), m_waiting.end(), name)
-                                          == m_waiting.end())
+    if (!state.waiters.empty()
+        && std::find(m_waiting.begin(), m_waiting.end(), name) == m_waiting.end())
         m_waiting.push_back(name);
 }
 
--- a/Source/Process/AllowanceCollector.cpp
+++ b/Source/Process/AllowanceCollector.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/** Answers kept at most. Beyond it the oldest are forgotten, and a repetition takes tokens again. */
+/** Answers kept at most. Beyond it the oldest are forgotten, and a repetition takes tokens again.
+ */
 constexpr std::size_t maxAnswers = 20'000;
 
 } // namespace
--- a/Source/Process/AllowancePool.cpp
+++ b/Source/Process/AllowancePool.cpp
@@ -104,8 +104,8 @@
     bool hasExpired = false;
     // The process may have been suspended for long, so that many shares ended one after another.
     while (now >= m_nextExpiry) {
-        m_shareSeconds += m_liveShare * toSeconds(std::max(m_nextExpiry - m_advancedTo,
-                                                           Duration::zero()));
+        m_shareSeconds += m_liveShare
+                          * toSeconds(std::max(m_nextExpiry - m_advancedTo, Duration::zero()));
         m_advancedTo = std::max(m_advancedTo, m_nextExpiry);
         // Shares that were prolonged since have a later expiry.
         std::erase_if(m_shares,
--- a/Source/Process/Loop/AllowanceCodec.cpp
+++ b/Source/Process/Loop/AllowanceCodec.cpp
@@ -41,8 +41,7 @@
     }
     void operator()(const DelegateAnswer &it)
     {
-        array.insert(array.end(),
-                     {it.slot, it.sequence, it.collector, it.collectorTime.count()});
+        array.insert(array.end(), {it.slot, it.sequence, it.collector, it.collectorTime.count()});
     }
     void operator()(const TokenRequest &it)
     {
