--- a/Source/Process/AllowancePool.h
+++ b/Source/Process/AllowancePool.h
@@ -53,7 +53,8 @@
     /** Which of the owner's shares. */
     unsigned slot = 0;
 
-    friend auto operator<=>(const AllowanceShareKey &, const AllowanceShareKey &) = default;
+    friend auto operator<=>(const AllowanceShareKey &,
+                            const AllowanceShareKey &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /**
