--- a/Tests/Process/AllowanceFleet.cpp
+++ b/Tests/Process/AllowanceFleet.cpp
@@ -70,7 +70,7 @@
     TimePoint plannedTick = TimePoint::max();
 };
 
-AllowanceFleet::AllowanceFleet(unsigned vms, std::vector<Workspace> workspaces,
+AllowanceFleet::AllowanceFleet(unsigned vms, const std::vector<Workspace> &workspaces,
                                AllowancePolicy policy, std::uint64_t seed)
     : m_random(seed)
     , m_policy(policy)
--- a/Tests/Process/AllowanceFleet.h
+++ b/Tests/Process/AllowanceFleet.h
@@ -23,7 +23,7 @@
         Duration lateDelay = std::chrono::seconds(3);
     };
 
-    AllowanceFleet(unsigned vms, std::vector<Workspace> workspaces, AllowancePolicy policy,
+    AllowanceFleet(unsigned vms, const std::vector<Workspace> &workspaces, AllowancePolicy policy,
                    std::uint64_t seed);
     ~AllowanceFleet();
 
