Request: Exclude a false finding of the linter

clang-tidy takes the defaulted comparison of RequestPriority for a null pointer when a test instantiates it, as it does for Identifier. The line is excluded in the same way, so that the lint of the new tests is clean.

--- a/Source/Request/RequestPriority.h
+++ b/Source/Request/RequestPriority.h
@@ -14,7 +14,8 @@
     unsigned route = 0;
 
     /** The workspace's priority goes before the route's. */
-    friend auto operator<=>(const RequestPriority &, const RequestPriority &) = default;
+    friend auto operator<=>(const RequestPriority &,
+                            const RequestPriority &) = default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace Sapphireladder
