Tests, Process: Bound the search in a test's upload, name a false positive of clang-tidy

The test of a whole upload searched for two characters in 4 MB anew with each part that arrived, and passed its timeout once on a loaded machine. It searches for one character now. clang-tidy takes the defaulted comparison of positions for one with a null pointer, and two adjacent literals for a missing comma; the first has a remark, the second is one literal.

--- a/Source/Process/PlatformStore.h
+++ b/Source/Process/PlatformStore.h
@@ -43,7 +43,7 @@
     std::uint64_t era = 0;
     /** Revision of the store in the era. */
     std::uint64_t version = 0;
-
+    // NOLINTNEXTLINE(modernize-use-nullptr): false positive, the operator compares with 0
     friend auto operator<=>(const StorePosition &, const StorePosition &) = default;
 };
 
--- a/Tests/Connection/PartialResponseTest.cpp
+++ b/Tests/Connection/PartialResponseTest.cpp
@@ -92,8 +92,7 @@
         "HTTP/1.1 200 OK\r\n: z\r\nContent-Length: 5\r\n\r\nwhole",
         "HTTP/1.1 200 OK\r\nX\r\nContent-Length: 5\r\n\r\nwhole",
         "HTTP/1.1 200 OK\r\nX\xe4: z\r\nContent-Length: 5\r\n\r\nwhole",
-        "HTTP/1.1 103 Early Hints\r\nX y: z\r\n\r\n"
-        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
+        "HTTP/1.1 103 E\r\nX y: z\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
         "HTTP/1.1 099 Early\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole",
 };
 
@@ -141,7 +140,8 @@
                   "loop connection, close after the whole upload, body without length is whole")
 {
     ScriptedServer server([](RawSocket &socket, unsigned) {
-        socket.readUntil("x!");
+        // One character, as the search starts anew with each part that arrives.
+        socket.readUntil("!");
         socket.send("HTTP/1.1 200 OK\r\n\r\nwhole");
     });
     boost::asio::io_context io;
