Tests: Send requests until the target with invalid heads has had one

It now sends requests, with pauses after which all targets are considered, until the target was reached, and checks each response.

--- a/Tests/Process/GatewayTest.cpp
+++ b/Tests/Process/GatewayTest.cpp
@@ -467,12 +467,15 @@
     });
     addTarget("valid", respond("200 OK", ""));
     publish();
-    for (unsigned i = 0; i < 40; ++i) {
+    // After a pause without current load reports, the search considers all targets.
+    unsigned failures = 0;
+    CHECK(eventually([&] {
+        std::this_thread::sleep_for(SearchPolicy().currentReportMaxAge * 2);
         const auto response = call();
-        CHECK(response.starts_with("HTTP/1.1 200"));
-        CHECK(response.ends_with("whole"));
-    }
-    CHECK(targets[0]->requestCount() > 0);
+        failures += response.starts_with("HTTP/1.1 200") && response.ends_with("whole") ? 0 : 1;
+        return targets[0]->requestCount() > 0;
+    }));
+    CHECK(failures == 0);
 }
 
 // Guards against a request that is broken off at a working target and answered 504 before the
