--- a/Tests/Connection/MutationTest.cpp
+++ b/Tests/Connection/MutationTest.cpp
@@ -58,8 +58,7 @@
         "HTTP/1.0 503 Busy\r\nContent-Length: 12\r\nRetry-After: 1\r\n\r\ntwelve bytes",
         "HTTP/1.1 204 No Content\r\nX-Request-Id: request-1\r\n\r\n",
         "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n",
-        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-        "a;x=y\r\n0123456789\r\n0\r\nX: y\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n0\r\nX: y\r\n\r\n",
 };
 
 /** Replaces, removes, inserts or repeats a part of the text, or truncates it. */
