Tests: Implement the hedging part of RequestObserver in the fixtures

RequestObserver got three functions for hedges, and the fixtures of three tests did not implement them, so that the tests did not compile. The fixtures have no hedges and ignore these calls; their checks are unchanged.

--- a/Tests/Connection/UpstreamTest.cpp
+++ b/Tests/Connection/UpstreamTest.cpp
@@ -270,6 +270,9 @@
     bool takeRetry() override { return true; }
     void retried(RetryReason) override { ++retries; }
     void retryDenied(RetryDenial) override {}
+    void hedged() override {}
+    void hedgeWon() override {}
+    void hedgeDenied(HedgeDenial) override {}
 
     RequestOutcome run(Duration timeout)
     {
--- a/Tests/Process/BoundsPropertyTest.cpp
+++ b/Tests/Process/BoundsPropertyTest.cpp
@@ -97,6 +97,9 @@
     }
     void retried(RetryReason) override {}
     void retryDenied(RetryDenial) override {}
+    void hedged() override {}
+    void hedgeWon() override {}
+    void hedgeDenied(HedgeDenial) override {}
 
     const ServicePolicy &policy;
     const Clock &clock;
--- a/Tests/Request/RequestClaimTest.cpp
+++ b/Tests/Request/RequestClaimTest.cpp
@@ -102,6 +102,9 @@
     bool takeRetry() override { return true; }
     void retried(RetryReason) override {}
     void retryDenied(RetryDenial) override {}
+    void hedged() override {}
+    void hedgeWon() override {}
+    void hedgeDenied(HedgeDenial) override {}
 
     RequestOutcome run()
     {
