--- a/Tests/Soak/SoakGateway.h
+++ b/Tests/Soak/SoakGateway.h
@@ -21,7 +21,7 @@
     double cores = 1;
     bool isFirstStart = false;
     /** Further lines of the settings file. */
-    std::string extraSettings;
+    std::string extraSettings{};
     /** Limit of open descriptors of the process; 0 for that of the test. */
     unsigned descriptorLimit = 0;
 };
