--- a/Source/Process/Loop/RelayCodec.h
+++ b/Source/Process/Loop/RelayCodec.h
@@ -65,7 +65,7 @@
 constexpr std::string_view knownAgeHeader = "Sapphireladder-Known-Age-Ms";
 
 /** Header field of a query with the eras of its positions: routes, targets, fleet list. */
-constexpr std::string_view storeErasHeader = "Sapphireladder-Store-Eras";
+constexpr std::string_view storeErasHeader = "Sapphireladder-Table-Eras";
 
 /** Path of the relay endpoint. */
 constexpr std::string_view relayPath = "/relay/changes";
