Process: Use the fleet's size at once after a restart for allowances

A VM that starts assumes 1,000 VMs, and applied the counted size only after 5 s: after a restart of many VMs nearly all requests with an allowance were refused for seconds. Unless all VMs start for the first time, the list of relays has the whole count already, and the first size applies at once.

--- a/Source/Process/AllowanceClient.cpp
+++ b/Source/Process/AllowanceClient.cpp
@@ -22,11 +22,13 @@
 } // namespace
 
 AllowanceClient::AllowanceClient(std::uint64_t owner, const Clock &clock,
-                                 AllowanceTransport &transport, EventSink &events)
+                                 AllowanceTransport &transport, EventSink &events,
+                                 bool isFleetCounted)
     : m_owner(owner)
     , m_clock(clock)
     , m_transport(transport)
     , m_events(events)
+    , m_estimate(isFleetCounted)
     , m_delegations{AllowanceDelegation({owner, 0}, clock.now() + delegationTime),
                     AllowanceDelegation({owner, 1}, clock.now() + delegationTime)}
 {}
--- a/Source/Process/AllowanceClient.h
+++ b/Source/Process/AllowanceClient.h
@@ -50,9 +50,10 @@
     /**
      * The references must outlive the object.
      * @param owner random number of this process
+     * @param isFleetCounted whether the fleet was counted before this process started
      */
     AllowanceClient(std::uint64_t owner, const Clock &clock, AllowanceTransport &transport,
-                    EventSink &events);
+                    EventSink &events, bool isFleetCounted = false);
 
     /** Sets the workspaces and whether there is anything to do at all. */
     void setWorkspaces(std::span<const Workspace> workspaces, const AllowancePolicy &policy);
--- a/Source/Process/AllowanceDelegation.cpp
+++ b/Source/Process/AllowanceDelegation.cpp
@@ -1,6 +1,7 @@
 #include "Process/Process.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Sapphireladder {
 
@@ -12,6 +13,10 @@
         m_smallerSince.reset();
         return;
     }
+    if (std::exchange(m_isFirstComplete, false)) {
+        m_fleetSize = std::max(1U, vms);
+        return;
+    }
     if (!m_smallerSince) {
         m_smallerSince = now;
         m_smallerFleetSize = vms;
--- a/Source/Process/AllowanceDelegation.h
+++ b/Source/Process/AllowanceDelegation.h
@@ -21,6 +21,14 @@
     /** Assumed until the size is known. */
     static constexpr unsigned assumedFleetSize = 1000;
 
+    /**
+     * @param isCounted whether the fleet was counted before this VM started, so that the first size
+     * is not that of a part of the fleet
+     */
+    explicit AllowanceShareEstimate(bool isCounted = false)
+        : m_isFirstComplete(isCounted)
+    {}
+
     /** @param vms upper estimate of the number of VMs */
     void setFleetSize(unsigned vms, TimePoint now);
     /** @return the share of this VM. */
@@ -30,6 +38,8 @@
     /** Applies a smaller size if it has been reported for long enough. */
     void update(TimePoint now);
 
+    /** The next size that is reported applies at once, even if it is smaller. */
+    bool m_isFirstComplete;
     unsigned m_fleetSize = assumedFleetSize;
     /** The largest size since m_smallerSince, which is less than the one in use. */
     unsigned m_smallerFleetSize = 0;
--- a/Source/Process/Loop/AllowanceLink.cpp
+++ b/Source/Process/Loop/AllowanceLink.cpp
@@ -11,7 +11,8 @@
     , m_policy(allowancePolicyOf(settings))
     , m_socket(context, [this](const auto &sender, auto bytes) { receive(sender, bytes); })
     , m_timer(context.io)
-    , m_client(RandomSource::fromSystem().bits(), context.clock, *this, events)
+    , m_client(RandomSource::fromSystem().bits(), context.clock, *this, events,
+               !settings.isFirstStart)
 {}
 
 void AllowanceLink::update(const GatewaySnapshot &snapshot)
--- a/Tests/Process/AllowanceTest.cpp
+++ b/Tests/Process/AllowanceTest.cpp
@@ -136,6 +136,18 @@
     CHECK(estimate.share(clock.now()) == 0.05);
 }
 
+// Guards against a fleet that refuses nearly all requests for seconds after all VMs restarted.
+TEST_CASE("allowance share, fleet counted before the start, uses the first size at once")
+{
+    ManualClock clock;
+    AllowanceShareEstimate estimate(true);
+    estimate.setFleetSize(AllowanceShareEstimate::assumedFleetSize, clock.now());
+    estimate.setFleetSize(10, clock.now());
+    CHECK(estimate.share(clock.now()) == 0.1);
+    estimate.setFleetSize(5, clock.now());
+    CHECK(estimate.share(clock.now()) == 0.1);
+}
+
 /** A client whose messages the test answers. */
 struct AllowanceClientFixture
     : AllowanceTransport
