--- a/review/standin-2/Standin.cpp
+++ b/review/standin-2/Standin.cpp
@@ -219,6 +219,12 @@
     return true;
 }
 
+std::size_t Connection::sendAvailable(std::string_view bytes)
+{
+    const auto n = ::send(m_fd, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return n > 0 ? static_cast<std::size_t>(n) : 0;
+}
+
 bool Connection::fill(std::int64_t untilMs)
 {
     pollfd entry{m_fd, POLLIN, 0};
--- a/review/standin-2/Standin.h
+++ b/review/standin-2/Standin.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 /** Stand-ins for the platform's store, for targets and for callers, and a runner of the product. */
@@ -80,6 +81,8 @@
     /** @return a connection to the port, or null. */
     static std::unique_ptr<Connection> open(std::uint16_t port);
     bool send(const std::string &bytes);
+    /** Sends as much as the kernel takes at once. @return the number of bytes. */
+    std::size_t sendAvailable(std::string_view bytes);
     /**
      * @param timeout time until the message must be complete
      * @return the next message, or nothing after the timeout or a close
