--- a/review/standin-2/Standin.cpp
+++ b/review/standin-2/Standin.cpp
@@ -423,16 +423,29 @@
     m_pid = -1;
 }
 
-Target &Deployment::addTarget(Target::Work work)
+Target &Deployment::addTarget(Target::Work work, const std::string &service)
 {
     const auto id = "i-" + std::to_string(m_targets.size());
     m_targets.push_back(std::make_unique<Target>(id, std::move(work)));
-    auto entry = Json::parse(readFile(m_arguments.dataFolder + "/server.json"));
-    entry["address"] = m_targets.back()->address();
-    m_store.put("servers", id, entry.dump());
+    putRow("servers", id, entryOf(*m_targets.back(), service, 4));
     return *m_targets.back();
 }
 
+void Deployment::putRow(const std::string &table, const std::string &key, const std::string &value)
+{
+    m_store.put(table, key, value);
+}
+
+std::string Deployment::entryOf(const Target &target, const std::string &service,
+                                unsigned seq) const
+{
+    auto entry = Json::parse(readFile(m_arguments.dataFolder + "/server.json"));
+    entry["service"] = service;
+    entry["address"] = target.address();
+    entry["seq"] = seq;
+    return entry.dump();
+}
+
 std::string Deployment::settings() const
 {
     const auto endpoint = [](const std::string &name, std::uint16_t port) {
--- a/review/standin-2/Standin.h
+++ b/review/standin-2/Standin.h
@@ -178,7 +178,11 @@
     ~Deployment() { stop(); }
 
     /** Adds a target before start(). */
-    Target &addTarget(Target::Work work);
+    Target &addTarget(Target::Work work, const std::string &service = "desk");
+    /** Writes a row as the operator, a target or another writer does. */
+    void putRow(const std::string &table, const std::string &key, const std::string &value);
+    /** @return the entry of a target in the table `servers`, with all of its fields. */
+    std::string entryOf(const Target &target, const std::string &service, unsigned seq) const;
     /** Starts the process. @return whether it got ready. */
     bool start();
     bool isRunning();
