--- a/review/10/Case.cpp
+++ b/review/10/Case.cpp
@@ -109,7 +109,7 @@
     Record record(arguments->recordFile);
     Deployment deployment(*arguments, record);
     std::ifstream config(arguments->dataFolder + "/../10/config.json");
-    deployment.putRow("op", "config", {std::istreambuf_iterator<char>(config), {}});
+    deployment.store().put("op", "config", {std::istreambuf_iterator<char>(config), {}});
     Counts counts;
     std::vector<std::pair<Target *, std::string>> targets;
     targets.reserve(2 * targetsPerService);
@@ -151,7 +151,8 @@
     threads.emplace_back([&] {
         for (unsigned seq = 5; nowMs() < until; ++seq) {
             for (const auto &[target, name] : targets)
-                deployment.putRow("servers", target->id(), deployment.entryOf(*target, name, seq));
+                deployment.store().put("servers", target->id(),
+                                       deployment.entryOf(*target, name, seq));
             std::this_thread::sleep_for(Milliseconds(heartbeatMs));
         }
     });
@@ -160,7 +161,7 @@
             std::this_thread::sleep_for(Milliseconds(start + entryAtMs - nowMs()));
             const auto &target = *targets.front().first;
             const auto entry = incompleteEntry(deployment.entryOf(target, ledger.name, 1));
-            deployment.putRow("servers", target.id(), entry);
+            deployment.store().put("servers", target.id(), entry);
             record.line("another writer writes servers/" + target.id() + ": " + entry);
         });
     for (const auto &service : {desk, ledger}) {
--- a/review/standin-2/Standin.cpp
+++ b/review/standin-2/Standin.cpp
@@ -294,10 +294,13 @@
     : m_server([this](Connection &connection) { serve(connection); })
 {}
 
-void Store::put(const std::string &table, const std::string &key, const std::string &value)
+bool Store::put(const std::string &table, const std::string &key, const std::string &value)
 {
     const std::lock_guard lock(m_mutex);
+    if (m_isAway)
+        return false;
     m_tables[table][key] = {value, ++m_version};
+    return true;
 }
 
 std::optional<std::string> Store::read(const std::string &table, std::optional<std::uint64_t> after)
@@ -318,49 +321,92 @@
             .dump();
 }
 
-std::string Store::feed(const std::string &table, std::uint64_t after, std::int64_t waitMs)
+void Store::takeCopy()
+{
+    const std::lock_guard lock(m_mutex);
+    m_copiedTables = m_tables;
+    m_copiedVersion = m_version;
+}
+
+void Store::leave()
+{
+    m_isAway = true;
+}
+
+void Store::returnFromCopy()
+{
+    const std::lock_guard lock(m_mutex);
+    m_tables = m_copiedTables;
+    m_version = m_copiedVersion;
+    ++m_era;
+    m_isAway = false;
+}
+
+Store::Answer Store::feed(const std::string &table, std::uint64_t after, std::int64_t waitMs)
 {
     constexpr Milliseconds pollInterval(5);
     const auto until = nowMs() + waitMs;
-    while (true) {
+    while (!m_isAway) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (after > m_version)
+                return {"410 Gone", "{}"};
+        }
         if (const auto changes = read(table, after))
-            return *changes;
+            return {"200 OK", *changes};
         if (nowMs() >= until)
             break;
         std::this_thread::sleep_for(pollInterval);
     }
     const std::lock_guard lock(m_mutex);
-    return Json{{"rows", Json::array()}, {"ver", m_version}, {"now_ms", nowMs()}}.dump();
+    return {"200 OK",
+            Json{{"rows", Json::array()}, {"ver", m_version}, {"now_ms", nowMs()}}.dump()};
 }
 
-std::string Store::transact(const std::string &body)
+Store::Answer Store::transact(const std::string &body)
 {
     const auto object = Json::parse(body, nullptr, false);
     for (const auto &it : object["puts"])
         put(it["table"], it["key"], decodeBase64(it["value"].get<std::string>()));
     const std::lock_guard lock(m_mutex);
-    return Json{{"ver", m_version}, {"now_ms", nowMs()}}.dump();
+    return {"200 OK", Json{{"ver", m_version}, {"now_ms", nowMs()}}.dump()};
 }
 
-void Store::serve(Connection &connection)
+Store::Answer Store::answer(const Message &request)
 {
     const auto numberOf = [](const std::string &text) {
         return std::strtoll(text.c_str(), nullptr, 10);
     };
+    const auto target = request.secondWord();
+    const auto table = queryValue(target, "table");
+    if (request.startLine.starts_with("POST "))
+        return transact(request.body);
+    const auto after = queryValue(target, "after");
+    if (after.empty())
+        return {"200 OK", read(table, std::nullopt).value_or("")};
+    return feed(table, static_cast<std::uint64_t>(numberOf(after)),
+                numberOf(queryValue(target, "wait_ms")));
+}
+
+std::uint64_t Store::era()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_era;
+}
+
+void Store::serve(Connection &connection)
+{
     while (const auto request = connection.receive(idleTime)) {
-        const auto target = request->secondWord();
-        const auto table = queryValue(target, "table");
-        std::string body;
-        if (request->startLine.starts_with("POST "))
-            body = transact(request->body);
-        else if (const auto after = queryValue(target, "after"); !after.empty())
-            body = feed(table, static_cast<std::uint64_t>(numberOf(after)),
-                        numberOf(queryValue(target, "wait_ms")));
-        else
-            body = read(table, std::nullopt).value_or("");
-        const auto head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
-                          + std::to_string(body.size()) + "\r\n\r\n";
-        if (!connection.send(head + body))
+        const Answer away{"503 Service Unavailable", "{}"};
+        const auto eraBefore = era();
+        auto reply = m_isAway ? away : answer(*request);
+        // An answer must be of one era.
+        if (m_isAway || era() != eraBefore)
+            reply = away;
+        if (!connection.send("HTTP/1.1 " + reply.status
+                             + "\r\nStore-Era: " + std::to_string(eraBefore)
+                             + "\r\nContent-Type: application/json\r\nContent-Length: "
+                             + std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body))
             return;
     }
 }
@@ -380,16 +426,22 @@
 std::string Target::success(const Message &request) const
 {
     const std::string body = "done";
-    return head(request, "200 OK") + "server-signature: " + m_id
-           + "\r\ncontent-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    auto text = head(request, "200 OK");
+    if (m_isLeaving)
+        text += "connection: close\r\n";
+    return text + "server-signature: " + m_id + "\r\ncontent-length: " + std::to_string(body.size())
+           + "\r\n\r\n" + body;
 }
 
 void Target::serve(Connection &connection)
 {
     const std::string emptyBody = "content-length: 0\r\n\r\n";
     while (const auto request = connection.receive(idleTime)) {
+        if (m_hasExited)
+            return;
         if (request->secondWord() == "/health") {
-            if (!connection.send("HTTP/1.1 200 OK\r\ninstance-id: " + m_id
+            const std::string status = m_isLeaving ? "503 Service Unavailable" : "200 OK";
+            if (!connection.send("HTTP/1.1 " + status + "\r\ninstance-id: " + m_id
                                  + "\r\nserver-load: 1,0,6,100\r\n" + emptyBody))
                 return;
             continue;
@@ -400,7 +452,7 @@
                             + emptyBody);
             return;
         }
-        if (!m_work(connection, *request))
+        if (!m_work(connection, *request) || m_isLeaving)
             return;
     }
 }
@@ -427,15 +479,10 @@
 {
     const auto id = "i-" + std::to_string(m_targets.size());
     m_targets.push_back(std::make_unique<Target>(id, std::move(work)));
-    putRow("servers", id, entryOf(*m_targets.back(), service, 4));
+    m_store.put("servers", id, entryOf(*m_targets.back(), service, 4));
     return *m_targets.back();
 }
 
-void Deployment::putRow(const std::string &table, const std::string &key, const std::string &value)
-{
-    m_store.put(table, key, value);
-}
-
 std::string Deployment::entryOf(const Target &target, const std::string &service,
                                 unsigned seq) const
 {
--- a/review/standin-2/Standin.h
+++ b/review/standin-2/Standin.h
@@ -115,12 +115,19 @@
     std::uint16_t m_port = 0;
 };
 
-/** The platform's store: versioned rows, a feed of changes, and writes. */
+/** The platform's store: versioned rows, a feed of changes, writes, and a return from a copy. */
 class Store
 {
 public:
     Store();
-    void put(const std::string &table, const std::string &key, const std::string &value);
+    /** @return whether the store has taken the row: not while it is away. */
+    bool put(const std::string &table, const std::string &key, const std::string &value);
+    /** Keeps a copy of all rows and of the version. */
+    void takeCopy();
+    /** The store is away: it answers 503 to all calls, also to those that wait. */
+    void leave();
+    /** The store is back with the rows and the version of the copy, and has begun another era. */
+    void returnFromCopy();
     std::string address() const { return m_server.address(); }
 
 private:
@@ -131,14 +138,28 @@
     };
 
     void serve(Connection &connection);
+    using Tables = std::map<std::string, std::map<std::string, Row>>;
+
+    struct Answer
+    {
+        std::string status;
+        std::string body;
+    };
+
     /** @return the answer to a read, or to a feed if there is a row newer than `after`. */
     std::optional<std::string> read(const std::string &table, std::optional<std::uint64_t> after);
-    std::string feed(const std::string &table, std::uint64_t after, std::int64_t waitMs);
-    std::string transact(const std::string &body);
+    Answer feed(const std::string &table, std::uint64_t after, std::int64_t waitMs);
+    Answer transact(const std::string &body);
+    Answer answer(const Message &request);
+    std::uint64_t era();
 
     std::mutex m_mutex;
+    std::atomic<bool> m_isAway = false;
+    std::uint64_t m_era = 1;
     std::uint64_t m_version = 1;
-    std::map<std::string, std::map<std::string, Row>> m_tables;
+    Tables m_tables;
+    std::uint64_t m_copiedVersion = 0;
+    Tables m_copiedTables;
     Server m_server;
 };
 
@@ -157,14 +178,23 @@
     std::string address() const { return m_server.address(); }
     /** @return the head of an answer, without the empty line. */
     std::string head(const Message &request, const std::string &statusLine) const;
-    /** @return a whole signed answer. */
+    /** @return a whole signed answer. A target that is leaving announces that it closes. */
     std::string success(const Message &request) const;
+    /** From now on the health path says that the target is leaving, and connections are not kept.
+     */
+    void leave() { m_isLeaving = true; }
+    /** From now on the target closes each connection. */
+    void exit() { m_hasExited = true; }
+    bool isLeaving() const { return m_isLeaving; }
+    bool hasExited() const { return m_hasExited; }
 
 private:
     void serve(Connection &connection);
 
     const std::string m_id;
     const Work m_work;
+    std::atomic<bool> m_isLeaving = false;
+    std::atomic<bool> m_hasExited = false;
     Server m_server;
 };
 
@@ -179,8 +209,7 @@
 
     /** Adds a target before start(). */
     Target &addTarget(Target::Work work, const std::string &service = "desk");
-    /** Writes a row as the operator, a target or another writer does. */
-    void putRow(const std::string &table, const std::string &key, const std::string &value);
+    Store &store() { return m_store; }
     /** @return the entry of a target in the table `servers`, with all of its fields. */
     std::string entryOf(const Target &target, const std::string &service, unsigned seq) const;
     /** Starts the process. @return whether it got ready. */
