--- a/review/standin-2/Standin.cpp
+++ b/review/standin-2/Standin.cpp
@@ -440,9 +440,11 @@
         if (m_hasExited)
             return;
         if (request->secondWord() == "/health") {
-            const std::string status = m_isLeaving ? "503 Service Unavailable" : "200 OK";
-            if (!connection.send("HTTP/1.1 " + status + "\r\ninstance-id: " + m_id
-                                 + "\r\nserver-load: 1,0,6,100\r\n" + emptyBody))
+            std::string text = "HTTP/1.1 ";
+            text += m_isLeaving ? "503 Service Unavailable" : "200 OK";
+            text.append("\r\ninstance-id: ").append(m_id);
+            text.append("\r\nserver-load: 1,0,6,100\r\n").append(emptyBody);
+            if (!connection.send(text))
                 return;
             continue;
         }
