--- a/review/standin-2/Standin.cpp
+++ b/review/standin-2/Standin.cpp
@@ -404,7 +404,7 @@
         if (m_isAway || era() != eraBefore)
             reply = away;
         if (!connection.send("HTTP/1.1 " + reply.status
-                             + "\r\nStore-Era: " + std::to_string(eraBefore)
+                             + "\r\nstore-era: " + std::to_string(eraBefore)
                              + "\r\nContent-Type: application/json\r\nContent-Length: "
                              + std::to_string(reply.body.size()) + "\r\n\r\n" + reply.body))
             return;
